--- /dev/null
+++ b/internal/rpcnet/rpcnet_test.go
@@ -0,0 +1,122 @@
+package rpcnet
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+)
+
+type Echo struct{}
+
+type Text struct{ S string }
+
+func (Echo) Say(in *Text, out *Text) error {
+	if in.S == "fail" {
+		return errors.New("failed on request")
+	}
+	out.S = in.S
+	return nil
+}
+
+func startServer(t *testing.T) (string, chan error) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer()
+	bad := make(chan error, 1)
+	s.OnBadFrame = func(_ string, err error) { bad <- err }
+	if err := s.Register("Echo", Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(lis)
+	t.Cleanup(func() { s.Close() })
+	return lis.Addr().String(), bad
+}
+
+// TestCall guards against replies that are lost or given to the wrong call.
+func TestCall(t *testing.T) {
+	addr, _ := startServer(t)
+	c := NewClient(addr)
+	defer c.Close()
+	for _, s := range []string{"a", strings.Repeat("b", 1<<20), ""} {
+		var out Text
+		if err := c.Call(context.Background(), "Echo.Say", &Text{S: s}, &out); err != nil || out.S != s {
+			t.Fatalf("echo of %d bytes: %d bytes, %v", len(s), len(out.S), err)
+		}
+	}
+	var out Text
+	err := c.Call(context.Background(), "Echo.Say", &Text{S: "fail"}, &out)
+	var e *Error
+	if !errors.As(err, &e) || e.Step != "Echo.Say" || e.Peer != addr || e.Kind != nil {
+		t.Fatalf("remote error: %v", err)
+	}
+}
+
+// TestOversizedCall guards against a frame above the bound being sent, and
+// against it breaking the connection for other calls.
+func TestOversizedCall(t *testing.T) {
+	addr, _ := startServer(t)
+	c := NewClient(addr)
+	defer c.Close()
+	var out Text
+	err := c.Call(context.Background(), "Echo.Say", &Text{S: strings.Repeat("x", MaxFrame)}, &out)
+	if !errors.Is(err, ErrNotSent) {
+		t.Fatalf("oversized call: %v", err)
+	}
+	if err := c.Call(context.Background(), "Echo.Say", &Text{S: "y"}, &out); err != nil || out.S != "y" {
+		t.Fatalf("call after an oversized one: %q, %v", out.S, err)
+	}
+}
+
+// TestGarbage guards against a garbage frame disturbing other connections.
+func TestGarbage(t *testing.T) {
+	addr, bad := startServer(t)
+	c := NewClient(addr)
+	defer c.Close()
+	for _, frame := range [][]byte{
+		binary.BigEndian.AppendUint32(nil, MaxFrame+1),
+		[]byte("\x00\x00\x00\x04\xc1\xc1\xc1\xc1"),
+		[]byte("GET / HTTP/1.1\r\n\r\n"),
+	} {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(frame); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-bad; !errors.Is(err, ErrFrame) {
+			t.Fatalf("garbage: %v", err)
+		}
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Fatal("the connection stays open after garbage")
+		}
+		conn.Close()
+		var out Text
+		if err := c.Call(context.Background(), "Echo.Say", &Text{S: "z"}, &out); err != nil || out.S != "z" {
+			t.Fatalf("call after garbage: %q, %v", out.S, err)
+		}
+	}
+}
+
+// TestCallToClosedPort guards against a refused connection being reported as
+// a call that may have reached the peer.
+func TestCallToClosedPort(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := lis.Addr().String()
+	lis.Close()
+	err = NewClient(addr).Call(context.Background(), "Echo.Say", &Text{}, &Text{})
+	var e *Error
+	if !errors.Is(err, ErrNotSent) || !errors.As(err, &e) || e.Step != "dial" {
+		t.Fatalf("call to a closed port: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/rpcnet/server.go
@@ -0,0 +1,105 @@
+package rpcnet
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+// Server serves net/rpc services on a listener.
+type Server struct {
+	rpc *rpc.Server
+	// OnBadFrame is told of malformed frames; it may be nil.
+	OnBadFrame func(peer string, err error)
+	// sent and received count bytes on the wire.
+	sent, received atomic.Int64
+
+	mu     sync.Mutex // guards the fields below
+	lis    net.Listener
+	conns  map[net.Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewServer returns a server with no services.
+func NewServer() *Server {
+	return &Server{rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+}
+
+// Register adds a service under a name.
+func (s *Server) Register(name string, service any) error {
+	return errors.Annotatef(s.rpc.RegisterName(name, service), "register %s", name)
+}
+
+// Serve accepts connections until Close is called, and then returns nil.
+func (s *Server) Serve(lis net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return lis.Close()
+	}
+	s.lis = lis
+	s.mu.Unlock()
+	for {
+		conn, err := lis.Accept()
+		if err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.closed {
+				return nil
+			}
+			return errors.Annotatef(err, "accept on %s", lis.Addr())
+		}
+		s.start(conn)
+	}
+}
+
+func (s *Server) start(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		conn.Close()
+		return
+	}
+	s.conns[conn] = struct{}{}
+	s.wg.Add(1)
+	go s.serve(conn)
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer s.wg.Done()
+	peer := conn.RemoteAddr().String()
+	codec := &serverCodec{framer: newFramer(&countedConn{Conn: conn, sent: &s.sent, received: &s.received})}
+	codec.onBad = func(err error) {
+		if s.OnBadFrame != nil {
+			s.OnBadFrame(peer, err)
+		}
+	}
+	s.rpc.ServeCodec(codec)
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+// Bytes returns the bytes sent and received so far on all connections.
+func (s *Server) Bytes() (sent, received int64) { return s.sent.Load(), s.received.Load() }
+
+// Close stops accepting, closes all connections and waits for their ends.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	lis := s.lis
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	var err error
+	if lis != nil {
+		err = lis.Close()
+	}
+	s.wg.Wait()
+	return err
+}
