--- /dev/null
+++ b/internal/decision/recovery/recovery_test.go
@@ -0,0 +1,88 @@
+package recovery
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// TestTruth guards against a recovered answer that says "not run" of a task
+// that has started, or "complete" of a job that is not. The model decides
+// which sidecar ran what, then hides ledgers in all the ways that may happen.
+func TestTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Question{
+			ID:           ident.ID{Owner: ident.Process{Instance: "e", Incarnation: 1}, Window: 5, Suffix: "x"},
+			Tasks:        rapid.IntRange(1, 6).Draw(t, "tasks"),
+			OwnerKnown:   rapid.Bool().Draw(t, "ownerKnown"),
+			OwnerWindow:  rapid.Uint64Range(0, 6).Draw(t, "ownerWindow"),
+			PeersReached: rapid.Bool().Draw(t, "peersReached"),
+		}
+		sidecars := rapid.IntRange(1, 3).Draw(t, "sidecars")
+		replies := make([]Reply, sidecars)
+		hidden := make([]bool, sidecars)
+		for i := range replies {
+			p := ident.Process{Instance: "s", Incarnation: uint64(i + 1)}
+			replies[i].Sidecar = p
+			known := wire.LedgerReply{Sidecar: p, Fenced: rapid.Bool().Draw(t, "fenced"), Known: true, FirstWindow: rapid.Uint64Range(0, 6).Draw(t, "first")}
+			restarted := known.FirstWindow >= q.ID.Window
+			lost := rapid.Bool().Draw(t, "lost")
+			hidden[i] = restarted || lost || !known.Fenced
+			if !lost {
+				replies[i].Ledger = &known
+			}
+		}
+		ran := make([]bool, q.Tasks)
+		visible := 0
+		for i := range ran {
+			ran[i] = rapid.Bool().Draw(t, "ran")
+			if !ran[i] {
+				continue
+			}
+			s := rapid.IntRange(0, sidecars-1).Draw(t, "at")
+			if l := replies[s].Ledger; l != nil && (!hidden[s] || rapid.Bool().Draw(t, "seen")) {
+				visible++
+				l.Entries = append(l.Entries, wire.LedgerEntry{Task: wire.TaskKey{Index: i}, State: jobapi.TaskCompleted, Result: &wire.TaskResult{State: jobapi.TaskCompleted}})
+			}
+		}
+		a, running := Judge(q, replies)
+		if running {
+			t.Fatal("no task was running")
+		}
+		if (a.State == jobapi.JobComplete) != (visible == q.Tasks) {
+			t.Fatalf("state %s with %d of %d found", a.State, visible, q.Tasks)
+		}
+		if a.State == jobapi.JobRefused {
+			for i, r := range ran {
+				if r {
+					t.Fatalf("refused as not run, but task %d ran", i)
+				}
+			}
+		}
+		for i, task := range a.Tasks {
+			if task.State == jobapi.TaskNotRun && ran[i] {
+				t.Fatalf("task %d is said not to have run, but it ran", i)
+			}
+		}
+	})
+}
+
+// TestLostSidecar guards against "not run" when a sidecar that the owner could
+// have used is gone.
+func TestLostSidecar(t *testing.T) {
+	id := ident.ID{Owner: ident.Process{Instance: "e", Incarnation: 1}, Window: 5, Suffix: "x"}
+	s := ident.Process{Instance: "s", Incarnation: 1}
+	q := Question{ID: id, Tasks: 1, OwnerKnown: true, PeersReached: true}
+	replies := []Reply{{Sidecar: s, Ledger: &wire.LedgerReply{Sidecar: s, Fenced: true}}}
+	if a, _ := Judge(q, replies); !a.NotRun || a.State != jobapi.JobRefused {
+		t.Fatalf("all accounted for: %+v", a)
+	}
+	q.SidecarLost = true
+	if a, _ := Judge(q, replies); a.NotRun || a.State != jobapi.JobFailed || a.Tasks[0].State != jobapi.TaskMayHaveRun {
+		t.Fatalf("with a lost sidecar: %+v", a)
+	}
+}
