--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,101 @@
+// Package entry is the runtime of an entry instance: it accepts jobs from
+// callers, drives the dispatch state machine, and talks to sidecars and to
+// the other entry instances.
+package entry
+
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
+	"github.com/fasthttp/router"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// Config is the static configuration of an entry instance.
+type Config struct {
+	Instance string
+	Zone     string
+	// CallerAddress, OperatorAddress and InternalAddress are listen addresses.
+	CallerAddress, OperatorAddress, InternalAddress string
+	// Advertise is the internal address that other processes use; empty
+	// selects the one listened on.
+	Advertise string
+	// Peers are internal addresses of other entry instances.
+	Peers []string
+	// CreditTTL must equal that of the sidecars.
+	CreditTTL time.Duration
+	// BeatInterval is the interval of heartbeats to other entry instances.
+	BeatInterval time.Duration
+	// SelfLease bounds the time without acknowledgements from half of the
+	// sidecars, and the longest pause, after which nothing is dispatched.
+	SelfLease time.Duration
+	// SilentAfter is the silence after which a peer is not used, and GoneAfter
+	// the silence after which it is given up.
+	SilentAfter, GoneAfter time.Duration
+	// Window is the length of a submission window.
+	Window time.Duration
+	// MaxBody bounds a caller's request body in bytes.
+	MaxBody int
+	// ReadTimeout bounds the time to read a request.
+	ReadTimeout time.Duration
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout time.Duration
+	// Seed of the random source; zero selects a random one.
+	Seed uint64
+}
+
+// Defaults of Config.
+const (
+	DefaultCreditTTL    = 3 * time.Second
+	DefaultBeatInterval = 500 * time.Millisecond
+	DefaultSelfLease    = 2 * time.Second
+	DefaultSilentAfter  = 3 * time.Second
+	DefaultGoneAfter    = 20 * time.Second
+	DefaultWindow       = time.Minute
+	DefaultMaxBody      = 8 << 20
+	DefaultReadTimeout  = 10 * time.Second
+	DefaultDrainTimeout = 30 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&c.CreditTTL, DefaultCreditTTL)
+	set(&c.BeatInterval, DefaultBeatInterval)
+	set(&c.SelfLease, DefaultSelfLease)
+	set(&c.SilentAfter, DefaultSilentAfter)
+	set(&c.GoneAfter, DefaultGoneAfter)
+	set(&c.Window, DefaultWindow)
+	set(&c.ReadTimeout, DefaultReadTimeout)
+	set(&c.DrainTimeout, DefaultDrainTimeout)
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+	return c
+}
+
+// Configuration is the source of the dynamic configuration. It is safe for
+// concurrent use.
+type Configuration interface {
+	// Current returns the document in force, or nil before there is one.
+	Current() *resource.Document
+	Revisions() wire.Revisions
+	// NoteKnown notes a revision that a peer has.
+	NoteKnown(revision uint64)
+	// Offer takes a document in JSON if it is valid and newer.
+	Offer(document []byte) error
+}
+
+// Deps are the collaborators of an entry instance.
+type Deps struct {
+	Configuration Configuration
+	Operator func(*router.Router)
+	Metrics *metrics.Registry
+	// Limits shares the limits with the other entry instances; nil means none.
+	Limits *escrow.Ledger
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// Entry is an entry instance.
+type Entry struct {
+	cfg     Config
+	deps    Deps
+	config  Configuration
+	start   time.Time
+	core    *core
+	rpc     *rpcnet.Server
+	caller  *fasthttp.Server
+	oper    *fasthttp.Server
+	beats   *beats
+	pulling atomic.Bool
+
+	callerLis, operLis, rpcLis net.Listener
+
+	// ctx ends when the instance stops.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// inFlight counts callers' requests.
+	inFlight atomic.Int64
+}
+
+// New opens the ports of an entry instance; Run serves them.
+func New(cfg Config, deps Deps) (*Entry, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	e := &Entry{cfg: cfg, deps: deps, config: deps.Configuration, start: time.Now(), rpc: rpcnet.NewServer()}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	if err := e.listen(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	e.core = newCore(e)
+	e.beats = newBeats(e.ctx, e.core)
+	e.rpc.OnBadFrame = func(peer string, err error) { e.log(event.RPCFrameRejected, "peer", peer, "err", err) }
+	if err := e.rpc.Register(wire.ServiceEntry, service{e}); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	e.caller = &fasthttp.Server{
+		Handler:               e.callerHandler(),
+		MaxRequestBodySize:    cfg.MaxBody,
+		ReadTimeout:           cfg.ReadTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		ErrorHandler:          e.requestError,
+		Logger:                silent{},
+	}
+	e.oper = &fasthttp.Server{
+		Handler:               e.operatorHandler(),
+		MaxRequestBodySize:    cfg.MaxBody,
+		ReadTimeout:           cfg.ReadTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		ErrorHandler:          e.requestError,
+		Logger:                silent{},
+	}
+	return e, nil
+}
+
+// silent drops fasthttp's own log lines; errors of requests are events.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+func (e *Entry) listen() error {
+	for _, l := range []struct {
+		name, addr string
+		to         *net.Listener
+	}{
+		{"caller", e.cfg.CallerAddress, &e.callerLis},
+		{"operator", e.cfg.OperatorAddress, &e.operLis},
+		{"internal", e.cfg.InternalAddress, &e.rpcLis},
+	} {
+		lis, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errors.Annotatef(err, "listen on %s address %s", l.name, l.addr)
+		}
+		*l.to = lis
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.callerLis, e.operLis, e.rpcLis} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// CallerAddr returns the address of the caller port.
+func (e *Entry) CallerAddr() string { return e.callerLis.Addr().String() }
+
+// OperatorAddr returns the address of the operator port.
+func (e *Entry) OperatorAddr() string { return e.operLis.Addr().String() }
+
+// InternalAddr returns the address of the internal port.
+func (e *Entry) InternalAddr() string { return e.rpcLis.Addr().String() }
+
+// advertised returns the internal address that other processes use.
+func (e *Entry) advertised() string {
+	if e.cfg.Advertise != "" {
+		return e.cfg.Advertise
+	}
+	return e.rpcLis.Addr().String()
+}
+
+// Run serves until ctx ends, then shuts down gracefully: it refuses new jobs,
+// answers those it has, and closes its ports.
+func (e *Entry) Run(ctx context.Context) error {
+	failed := make(chan error, 3)
+	serve := func(f func() error) {
+		e.wg.Go(func() {
+			if err := f(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	e.wg.Go(func() { e.core.run(e.ctx) })
+	serve(func() error { return e.rpc.Serve(e.rpcLis) })
+	serve(func() error { return e.caller.Serve(e.callerLis) })
+	serve(func() error { return e.oper.Serve(e.operLis) })
+	for _, p := range e.cfg.Peers {
+		e.beats.add(p)
+	}
+	e.log(event.EntryStarted, "instance", e.cfg.Instance, "caller", e.CallerAddr(), "operator", e.OperatorAddr(), "internal", e.InternalAddr())
+	select {
+	case err := <-failed:
+		e.Kill()
+		return errors.Annotate(err, "serve")
+	case <-e.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return e.shutdown()
+	}
+}
+
+// SetDraining starts or ends draining: a draining instance refuses new jobs
+// as not run and fails its health check.
+func (e *Entry) SetDraining(on bool) {
+	e.core.draining.Store(on)
+	e.core.call(func(time.Duration) { e.core.machine.Drain(on) })
+	if on {
+		e.log(event.EntryDraining, "instance", e.cfg.Instance)
+	}
+}
+
+const drainPoll = 10 * time.Millisecond
+
+// shutdown drains and stops within the bound of the settings.
+func (e *Entry) shutdown() error {
+	e.SetDraining(true)
+	end := time.Now().Add(e.cfg.DrainTimeout)
+	for e.unanswered() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPoll)
+	}
+	if e.unanswered() > 0 {
+		e.log(event.EntryDrainTimeout, "instance", e.cfg.Instance)
+		e.core.call(func(now time.Duration) { e.core.machine.Abandon(now) })
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Until(end)+time.Second)
+	defer cancel()
+	err := e.caller.ShutdownWithContext(ctx)
+	e.Kill()
+	e.log(event.EntryStopped, "instance", e.cfg.Instance)
+	return errors.Annotate(err, "shut down the caller port")
+}
+
+// unanswered counts the jobs without an answer and the requests in flight.
+func (e *Entry) unanswered() int64 {
+	n := e.inFlight.Load()
+	e.core.call(func(time.Duration) { n += int64(e.core.machine.Open()) })
+	return n
+}
+
+// Kill stops at once without answering anything, as a crash would.
+func (e *Entry) Kill() {
+	e.cancel()
+	e.closeListeners()
+	e.rpc.Close()
+	<-e.core.done
+	for _, s := range e.core.links {
+		s.link.close()
+	}
+	for _, p := range e.core.peers {
+		p.client.Close()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = e.caller.ShutdownWithContext(ctx)
+	_ = e.oper.ShutdownWithContext(ctx)
+	e.wg.Wait()
+}
+
+func (e *Entry) limiter() dispatch.Limiter {
+	if e.deps.Limits == nil {
+		return nil
+	}
+	return e.deps.Limits
+}
+
+// log writes a numbered event.
+func (e *Entry) log(ev *event.Event, pairs ...any) { event.To(klog.Background(), ev, pairs...) }
+
+// jitter returns a random duration below d. The global source is safe for
+// concurrent use.
+func (e *Entry) jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return rand.N(d)
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+const (
+	// forwardTimeout bounds one forwarded call; a waiting call is repeated.
+	forwardTimeout = 10 * time.Second
+	// forwardPause is the pause before an owner that did not answer is called
+	// again.
+	forwardPause = 200 * time.Millisecond
+)
+
+// forward passes a request to the owner of the submission. If the owner is
+// dead, the answer is recovered from the sidecars.
+func (e *Entry) forward(ctx context.Context, id ident.ID, req *wire.ForwardRequest) jobapi.JobAnswer {
+	for {
+		client, state := e.ownerOf(id.Owner)
+		switch state {
+		case ownerDead:
+			return e.recoverJob(ctx, id, req.Job)
+		case ownerUnknown:
+			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "no entry instance with this incarnation is known here")
+		}
+		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		var reply wire.ForwardReply
+		err := client.Call(callCtx, wire.ServiceEntry+".Forward", req, &reply)
+		cancel()
+		if err == nil {
+			return reply.Answer
+		}
+		var failure *rpcnet.Error
+		if errors.As(err, &failure) && failure.Kind == nil {
+			// The process at that address is another incarnation.
+			e.core.call(func(now time.Duration) { e.core.killEntry(now, id.Owner) })
+			continue
+		}
+		if ctx.Err() != nil {
+			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "the owner of the submission did not answer in time")
+		}
+		time.Sleep(forwardPause)
+		e.core.call(func(now time.Duration) { e.core.suspect(now, id.Owner) })
+	}
+}
+
+type ownerState uint8
+
+const (
+	ownerLive ownerState = iota
+	ownerDead
+	ownerUnknown
+)
+
+// ownerOf returns the client of a live owner, or its state.
+func (e *Entry) ownerOf(p ident.Process) (*rpcnet.Client, ownerState) {
+	v := e.core.view.Load()
+	if client := v.peers[p]; client != nil {
+		return client, ownerLive
+	}
+	for _, dead := range v.dead {
+		if dead == p {
+			return nil, ownerDead
+		}
+	}
+	m, known := v.known[p]
+	if p.Instance == e.cfg.Instance {
+		// An earlier process under this instance's own name.
+		e.core.call(func(now time.Duration) { e.core.killEntry(now, p) })
+		return nil, ownerDead
+	}
+	if known {
+		// Silent for longer than the bound: a caller asks, so it is given up.
+		e.core.call(func(now time.Duration) { e.core.killEntry(now, m.Peer.Process) })
+		return nil, ownerDead
+	}
+	return nil, ownerUnknown
+}
+
+// killEntry declares an entry incarnation dead and has it fenced.
+func (c *core) killEntry(now time.Duration, p ident.Process) {
+	c.entries.Kill(now, p)
+	c.follow(now)
+}
+
+// suspect applies the silence bound to a peer now.
+func (c *core) suspect(now time.Duration, _ ident.Process) {
+	c.entries.Tick(now)
+	c.follow(now)
+}
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/fasthttp/router"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/httperr"
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/inflight"
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/panics"
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/prefix"
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/ready"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// maxInFlight bounds the callers' requests in flight at one entry instance.
+const maxInFlight = 20000
+
+// callerHandler returns the handler of the caller port: the routes behind the
+// filter chain.
+func (e *Entry) callerHandler() fasthttp.RequestHandler {
+	r := router.New()
+	r.HandleMethodNotAllowed = true
+	r.POST("/v1/submissions", e.handlePrefix)
+	r.POST("/v1/jobs", e.handleSubmit)
+	r.GET("/v1/jobs/{id}", e.handleGet)
+	r.DELETE("/v1/jobs/{id}", e.handleCancel)
+	r.GET("/healthz", e.handleHealth)
+	r.NotFound = notFound
+	h := r.Handler
+	h = ready.New(h, ready.Config{Ready: func() bool { return e.config.Current() != nil }})
+	h = prefix.New(h, prefix.Config{Prefix: e.prefix})
+	h = inflight.New(h, inflight.Config{Count: &e.inFlight, Max: maxInFlight})
+	return panics.New(h, panics.Config{Report: e.reportPanic})
+}
+
+func notFound(ctx *fasthttp.RequestCtx) {
+	httperr.Write(ctx, fasthttp.StatusNotFound, httperr.Body{Error: "no such path: " + string(ctx.Path())})
+}
+
+func (e *Entry) reportPanic(path string, value any, stack []byte) {
+	e.log(event.HandlerPanic, "path", path, "value", fmt.Sprint(value), "stack", string(stack))
+}
+
+// prefix returns the submission prefix that is issued now.
+func (e *Entry) prefix() string {
+	return ident.Prefix(*e.core.self.Load(), e.core.window.Load())
+}
+
+// prefixAnswer is the body of the answer to POST /v1/submissions.
+type prefixAnswer struct {
+	// Prefix is followed by a suffix of the caller's choice.
+	Prefix string `json:"prefix"`
+	// SubmissionID is a complete ID for one submission.
+	SubmissionID string `json:"submissionID"`
+}
+
+func (e *Entry) handlePrefix(ctx *fasthttp.RequestCtx) {
+	p := e.prefix()
+	httperr.WriteJSON(ctx, fasthttp.StatusOK, prefixAnswer{Prefix: p, SubmissionID: p + uuid.NewString()})
+}
+
+func (e *Entry) handleSubmit(ctx *fasthttp.RequestCtx) {
+	req, problem := decodeJob(ctx.PostBody())
+	if problem != nil {
+		httperr.Write(ctx, problem.status, problem.body)
+		return
+	}
+	if req.SubmissionID == "" {
+		req.SubmissionID = e.prefix() + uuid.NewString()
+	}
+	id, err := ident.Parse(req.SubmissionID)
+	if err != nil {
+		httperr.Write(ctx, fasthttp.StatusBadRequest, httperr.Body{Error: err.Error(), Field: "submissionID", NotRun: true})
+		return
+	}
+	wait := !bytes.Equal(ctx.QueryArgs().Peek("wait"), []byte("false"))
+	fwd := wire.ForwardRequest{Op: wire.ForwardSubmit, Submission: req.SubmissionID, Job: req, Wait: wait}
+	e.serve(ctx, id, &fwd)
+}
+
+func (e *Entry) handleGet(ctx *fasthttp.RequestCtx) {
+	wait := bytes.Equal(ctx.QueryArgs().Peek("wait"), []byte("true"))
+	e.serveID(ctx, wire.ForwardRequest{Op: wire.ForwardGet, Wait: wait})
+}
+
+func (e *Entry) handleCancel(ctx *fasthttp.RequestCtx) {
+	e.serveID(ctx, wire.ForwardRequest{Op: wire.ForwardCancel})
+}
+
+func (e *Entry) serveID(ctx *fasthttp.RequestCtx, fwd wire.ForwardRequest) {
+	text, _ := ctx.UserValue("id").(string)
+	id, err := ident.Parse(text)
+	if err != nil {
+		httperr.Write(ctx, fasthttp.StatusBadRequest, httperr.Body{Error: err.Error(), Field: "submissionID"})
+		return
+	}
+	fwd.Submission = text
+	e.serve(ctx, id, &fwd)
+}
+
+// serve answers a request about a submission here or at its owner.
+func (e *Entry) serve(ctx *fasthttp.RequestCtx, id ident.ID, fwd *wire.ForwardRequest) {
+	var a jobapi.JobAnswer
+	switch {
+	case !e.owns(id.Owner):
+		a = e.forward(e.ctx, id, fwd)
+	case fwd.Op == wire.ForwardSubmit:
+		a = e.submitOwn(e.ctx, id, fwd.Job, fwd.Wait)
+	case fwd.Op == wire.ForwardCancel:
+		a = e.cancelOwn(id)
+	default:
+		a = e.getOwn(e.ctx, id, fwd.Wait)
+	}
+	if a.RetryAfterMs > 0 {
+		seconds := (a.RetryAfterMs + 999) / 1000
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	httperr.WriteJSON(ctx, statusOf(a), a)
+}
+
+// problem is an error in a request; nothing was run because of it.
+type problem struct {
+	status int
+	body   httperr.Body
+}
+
+func badJob(status int, field, format string, args ...any) *problem {
+	return &problem{status: status, body: httperr.Body{Error: fmt.Sprintf(format, args...), Field: field, NotRun: true}}
+}
+
+// decodeJob decodes and checks the body of POST /v1/jobs.
+func decodeJob(body []byte) (*jobapi.JobRequest, *problem) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	var req jobapi.JobRequest
+	if err := dec.Decode(&req); err != nil {
+		var typeErr *json.UnmarshalTypeError
+		if errors.As(err, &typeErr) {
+			return nil, badJob(fasthttp.StatusBadRequest, typeErr.Field, "wrong type: %v", err)
+		}
+		return nil, badJob(fasthttp.StatusBadRequest, "", "malformed JSON: %v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, badJob(fasthttp.StatusBadRequest, "", "malformed JSON: data after the object")
+	}
+	switch n := len(req.Tasks); {
+	case n == 0:
+		return nil, badJob(fasthttp.StatusUnprocessableEntity, "tasks", "a job has 1 to %d tasks, got 0", jobapi.MaxTasks)
+	case n > jobapi.MaxTasks:
+		return nil, badJob(fasthttp.StatusUnprocessableEntity, "tasks", "a job has 1 to %d tasks, got %d", jobapi.MaxTasks, n)
+	case req.Team == "":
+		return nil, badJob(fasthttp.StatusUnprocessableEntity, "team", "team is empty")
+	case req.Kind == "":
+		return nil, badJob(fasthttp.StatusUnprocessableEntity, "kind", "kind is empty")
+	case req.DeadlineMs < 0:
+		return nil, badJob(fasthttp.StatusUnprocessableEntity, "deadlineMs", "deadlineMs is %d, allowed 0 or more", req.DeadlineMs)
+	}
+	for i, t := range req.Tasks {
+		if t.RunMs < 0 || t.Size.CPUs < 0 || t.Size.MemoryMB < 0 || t.Size.Accelerators < 0 {
+			return nil, badJob(fasthttp.StatusUnprocessableEntity, fmt.Sprintf("tasks[%d]", i), "sizes and run times must not be negative")
+		}
+	}
+	return &req, nil
+}
+
+func (e *Entry) handleHealth(ctx *fasthttp.RequestCtx) {
+	switch {
+	case e.core.draining.Load():
+		httperr.Write(ctx, fasthttp.StatusServiceUnavailable, httperr.Body{Error: "draining"})
+	case e.config.Current() == nil:
+		httperr.Write(ctx, fasthttp.StatusServiceUnavailable, httperr.Body{Error: "no configuration yet"})
+	default:
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		ctx.SetBodyString("{\"ok\":true}\n")
+	}
+}
--- /dev/null
+++ b/internal/entry/observe.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// observeJob records an answered job in the metrics.
+func (e *Entry) observeJob(a dispatch.Answered) {
+	if e.deps.Metrics == nil {
+		return
+	}
+	m := e.deps.Metrics.Class(a.Class.Team, a.Class.Kind)
+	m.Response.Record(a.Response)
+	m.Jobs.Add(string(a.Answer.State), 1)
+	for _, t := range a.Answer.Tasks {
+		if t.State == jobapi.TaskCompleted || t.State == jobapi.TaskFailed {
+			m.Run.Record(time.Duration(t.RunMs) * time.Millisecond)
+		}
+	}
+}
+
+// notice logs an event of the dispatch machine and acts on it.
+func (c *core) notice(now time.Duration, n dispatch.Notice) {
+	switch ev := n.Event.(type) {
+	case dispatch.OwnerFenced:
+		c.e.log(event.EntryFenced, "sidecar", ev.Sidecar.String())
+		c.restart(now)
+	case dispatch.WorkerEjected:
+		c.e.log(event.EntryWorkerEjected, "worker", ev.Sidecar.Instance, "for", ev.Until-now)
+	case dispatch.WorkerReadmitted:
+		c.e.log(event.EntryWorkerReadmitted, "worker", ev.Sidecar.Instance)
+	case dispatch.TasksLost:
+		c.e.log(event.SidecarLost, "sidecar", ev.Sidecar.String(), "tasks", ev.Tasks)
+	case dispatch.RetriesExhausted:
+		c.e.log(event.EntryRetryBudgetSpent, "team", ev.Class.Team, "kind", ev.Class.Kind)
+	}
+}
+
+// limitsTold adds the limit shares to a heartbeat.
+func (e *Entry) limitsTold(_ any, _ *wire.PeerBeat) {}
+
+// limitsHeard takes the limit shares of a peer's heartbeat.
+func (e *Entry) limitsHeard(_ time.Duration, _ *wire.PeerBeat) {}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// retainWindows is the number of windows for which lost members and
+// submissions are remembered.
+const retainWindows = dispatch.DefaultRetainWindows
+
+// peerState is what the core knows of another entry incarnation.
+type peerState struct {
+	client    *rpcnet.Client
+	window    uint64
+	revisions wire.Revisions
+	sidecars  []wire.SidecarRef
+	hash      uint64
+	draining  bool
+}
+
+// view is the membership as other goroutines read it; it is replaced as a
+// whole at each change.
+type view struct {
+	self wire.Peer
+	// entries are the live entry instances, self included.
+	entries     []wire.Peer
+	entriesHash uint64
+	dead        []ident.Process
+	// peers are the other live entry incarnations.
+	peers map[ident.Process]*rpcnet.Client
+	// known holds all remembered entry incarnations.
+	known map[ident.Process]membership.Member
+	// sidecars are the attached ones with their links.
+	sidecars map[ident.Process]*link
+	refs     []wire.SidecarRef
+	refsHash uint64
+	gone     []ident.Process
+}
+
+// publish builds a new view and swaps it in.
+func (c *core) publish() {
+	v := &view{
+		self:     wire.Peer{Process: *c.self.Load(), Address: c.e.advertised(), Zone: c.e.cfg.Zone},
+		peers:    map[ident.Process]*rpcnet.Client{},
+		known:    map[ident.Process]membership.Member{},
+		sidecars: map[ident.Process]*link{},
+	}
+	v.entries = append(v.entries, v.self)
+	for _, s := range []membership.State{membership.Live, membership.Silent, membership.Dead} {
+		for _, m := range c.entries.In(s) {
+			c.viewEntry(v, m)
+		}
+	}
+	for _, e := range v.entries {
+		v.entriesHash += xxhash.Sum64String(e.Process.String())
+	}
+	for _, m := range c.sidecars.In(membership.Live) {
+		s := c.links[m.Peer.Process]
+		if s == nil {
+			continue
+		}
+		v.sidecars[m.Peer.Process] = s.link
+		v.refs = append(v.refs, wire.SidecarRef{Peer: m.Peer, Rack: m.Rack, InForce: s.inForce})
+	}
+	for p := range c.gone {
+		v.gone = append(v.gone, p)
+	}
+	v.refsHash = hashRefs(v.refs)
+	c.view.Store(v)
+}
+
+func (c *core) viewEntry(v *view, m membership.Member) {
+	p := m.Peer.Process
+	v.known[p] = m
+	switch m.State {
+	case membership.Dead:
+		v.dead = append(v.dead, p)
+	case membership.Live:
+		if ps := c.peers[p]; ps != nil {
+			v.entries = append(v.entries, m.Peer)
+			v.peers[p] = ps.client
+		}
+	}
+}
+
+func hashRefs(refs []wire.SidecarRef) uint64 {
+	h := xxhash.New()
+	var buf [16]byte
+	for _, r := range refs {
+		h.WriteString(r.Peer.Process.String())
+		h.WriteString(r.Peer.Address)
+		h.Write(appendUint64(buf[:0], r.InForce))
+	}
+	return max(h.Sum64(), 1)
+}
+
+func appendUint64(b []byte, v uint64) []byte {
+	for i := range 8 {
+		b = append(b, byte(v>>(8*i)))
+	}
+	return b
+}
+
+// hearOf notes an entry instance that somebody else named; the beat loop
+// contacts it.
+func (c *core) hearOf(p wire.Peer) {
+	if p.Process.Instance != c.e.cfg.Instance && p.Address != "" {
+		c.e.beats.add(p.Address)
+	}
+}
+
+// peerBeat handles a heartbeat of another entry instance, received as a
+// request or as a reply.
+func (c *core) peerBeat(now time.Duration, b *wire.PeerBeat) {
+	p := b.Entry.Process
+	if p.Instance == c.e.cfg.Instance || p.IsZero() {
+		return
+	}
+	if !c.entries.Seen(now, b.Entry, "", b.Window) {
+		return
+	}
+	ps := c.peers[p]
+	if ps == nil {
+		ps = &peerState{client: rpcnet.NewClient(b.Entry.Address)}
+		c.peers[p] = ps
+		c.e.beats.add(b.Entry.Address)
+		c.e.log(event.PeerSeen, "peer", p.String(), "address", b.Entry.Address)
+		c.publish()
+	}
+	ps.window, ps.revisions, ps.draining = b.Window, b.Revisions, b.Draining
+	if b.SidecarsHash != ps.hash && hashRefs(b.Sidecars) == b.SidecarsHash {
+		ps.sidecars, ps.hash = b.Sidecars, b.SidecarsHash
+	}
+	c.e.config.NoteKnown(b.Revisions.Known)
+	for _, q := range b.Entries {
+		c.hearOf(q)
+	}
+	for _, q := range b.Dead {
+		c.hearDead(now, q)
+	}
+	for _, q := range b.Gone {
+		if c.gone[q] == 0 && c.links[q] == nil {
+			c.gone[q] = now
+		}
+	}
+	c.e.limitsHeard(now, b)
+	c.follow(now)
+}
+
+// hearDead takes a peer's verdict that an entry incarnation is dead. The
+// verdict on this incarnation ends it.
+func (c *core) hearDead(now time.Duration, p ident.Process) {
+	if p == *c.self.Load() {
+		c.e.log(event.EntryFenced)
+		c.restart(now)
+		return
+	}
+	if m, ok := c.entries.Get(p); !ok || m.State != membership.Dead {
+		c.entries.Kill(now, p)
+	}
+}
+
+// entryChanged acts on a state change of another entry incarnation.
+func (c *core) entryChanged(now time.Duration, t membership.Transition) {
+	p := t.Member.Peer.Process
+	switch t.Member.State {
+	case membership.Silent:
+		c.e.log(event.PeerLost, "peer", p.String())
+	case membership.Dead:
+		c.e.log(event.EntryOwnerDead, "peer", p.String())
+		c.losses.Add(now, t.Member)
+		if ps := c.peers[p]; ps != nil {
+			go ps.client.Close()
+			delete(c.peers, p)
+		}
+		for _, s := range c.links {
+			s.link.fenceOwner(p)
+		}
+	}
+}
+
+// fenceOwner tells the sidecar that an entry incarnation is dead. A lost call
+// is made up for by the dead list of the next attach.
+func (l *link) fenceOwner(p ident.Process) {
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		defer cancel()
+		var reply wire.FenceOwnerReply
+		req := wire.FenceOwnerRequest{Owners: []ident.Process{p}}
+		_ = l.client.Call(ctx, wire.ServiceSidecar+".FenceOwner", &req, &reply)
+	}()
+}
+
+// ownBeat builds the heartbeat to a peer.
+func (c *core) ownBeat(to ident.Process) wire.PeerBeat {
+	v := c.view.Load()
+	b := wire.PeerBeat{
+		Entry:        v.self,
+		Window:       c.window.Load(),
+		Revisions:    c.e.config.Revisions(),
+		SidecarsHash: v.refsHash,
+		Entries:      v.entries,
+		Dead:         v.dead,
+		Gone:         v.gone,
+		Draining:     c.draining.Load(),
+	}
+	b.Sidecars = v.refs
+	c.e.limitsTold(to, &b)
+	return b
+}
--- /dev/null
+++ b/internal/entry/pull.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// pullTimeout bounds the reading of the configuration document from a peer.
+const pullTimeout = 3 * time.Second
+
+// pullIfBehind reads the document from a peer that has a newer one in force.
+// One reading runs at a time.
+func (e *Entry) pullIfBehind(peer *rpcnet.Client, theirs wire.Revisions) {
+	own := e.config.Revisions()
+	if theirs.InForce <= own.InForce || theirs.InForce == own.Rejected || !e.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	e.wg.Go(func() {
+		defer e.pulling.Store(false)
+		if err := e.pull(peer, own.InForce); err != nil {
+			e.log(event.RPCLost, "err", err)
+		}
+	})
+}
+
+func (e *Entry) pull(peer *rpcnet.Client, have uint64) error {
+	ctx, cancel := context.WithTimeout(e.ctx, pullTimeout)
+	defer cancel()
+	method := wire.ServiceEntry + ".PullConfig"
+	var reply wire.PullReply
+	if err := peer.Call(ctx, method, &wire.PullRequest{Have: have}, &reply); err != nil {
+		return err
+	}
+	if len(reply.Document) == 0 {
+		return nil
+	}
+	return errors.Annotatef(e.config.Offer(reply.Document), "document from %s", peer.Addr())
+}
+
+// pullFromSidecar reads the document from a sidecar, which keeps a copy.
+func (e *Entry) pullFromSidecar(l *link, theirs wire.Revisions) {
+	own := e.config.Revisions()
+	if theirs.InForce <= own.InForce || theirs.InForce == own.Rejected || !e.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	e.wg.Go(func() {
+		defer e.pulling.Store(false)
+		ctx, cancel := context.WithTimeout(l.ctx, pullTimeout)
+		defer cancel()
+		var reply wire.PullReply
+		err := l.client.Call(ctx, wire.ServiceSidecar+".PullConfig", &wire.PullRequest{Have: own.InForce}, &reply)
+		if err == nil && len(reply.Document) > 0 {
+			err = e.config.Offer(reply.Document)
+		}
+		if err != nil {
+			e.log(event.RPCLost, "err", err)
+		}
+	})
+}
+
+// fillPull answers a request for the document.
+func (e *Entry) fillPull(req *wire.PullRequest, reply *wire.PullReply) error {
+	doc := e.config.Current()
+	if doc == nil || doc.Revision <= req.Have {
+		return nil
+	}
+	b, err := json.Marshal(doc)
+	if err != nil {
+		return errors.Annotate(err, "encode the configuration")
+	}
+	reply.Revision, reply.Document = doc.Revision, b
+	return nil
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// errStopped answers calls after the core loop has ended.
+const errStopped = errors.ConstError("entry instance is stopping")
+
+// service is the net/rpc service for sidecars and other entry instances.
+type service struct{ e *Entry }
+
+func (s service) do(in input) error {
+	if !s.e.core.call(in) {
+		return errStopped
+	}
+	return nil
+}
+
+// Attach attaches a sidecar incarnation.
+func (s service) Attach(req *wire.AttachRequest, reply *wire.AttachReply) error {
+	if req.Sidecar.Process.IsZero() || req.Sidecar.Address == "" {
+		return errors.NotValidf("attach without process or address")
+	}
+	return s.do(func(now time.Duration) { s.e.core.attach(now, req, reply) })
+}
+
+// Beat takes the heartbeat of a sidecar.
+func (s service) Beat(req *wire.BeatRequest, reply *wire.BeatReply) error {
+	err := s.do(func(now time.Duration) { s.e.core.beat(now, req, reply) })
+	reply.Demand = s.e.core.demandNow()
+	return err
+}
+
+// Results takes ended tasks. The reply acknowledges them at once: the sidecar
+// keeps them in its ledger all the same.
+func (s service) Results(req *wire.ResultsRequest, reply *wire.ResultsReply) error {
+	c := s.e.core
+	err := s.do(func(now time.Duration) {
+		m := c.machineOf(req.Entry)
+		if m == nil {
+			return
+		}
+		m.Results(now, req.Sidecar, req.Results)
+		if m != c.machine {
+			return
+		}
+		if l := c.links[req.Sidecar]; l != nil {
+			c.sidecars.Seen(now, l.peer, rackOf(l.backend), 0)
+			m.Grant(now, req.Sidecar, req.Grants)
+		}
+	})
+	reply.Demand = c.demandNow()
+	return err
+}
+
+// Recall gives idle credits back to a sidecar.
+func (s service) Recall(req *wire.RecallRequest, reply *wire.RecallReply) error {
+	c := s.e.core
+	err := s.do(func(now time.Duration) {
+		if req.Entry == *c.self.Load() {
+			reply.Returned = c.machine.Recall(now, req.Sidecar, req.Count)
+		}
+	})
+	reply.Demand = c.demandNow()
+	return err
+}
+
+// PeerBeat takes the heartbeat of another entry instance.
+func (s service) PeerBeat(req, reply *wire.PeerBeat) error {
+	if req.Entry.Process.IsZero() {
+		return errors.NotValidf("heartbeat without process")
+	}
+	err := s.do(func(now time.Duration) { s.e.core.peerBeat(now, req) })
+	*reply = s.e.core.ownBeat(req.Entry.Process)
+	if req.HaveHash == reply.SidecarsHash {
+		reply.Sidecars = nil
+	}
+	return err
+}
+
+// Forward serves a caller's request that another instance received.
+func (s service) Forward(req *wire.ForwardRequest, reply *wire.ForwardReply) error {
+	id, err := ident.Parse(req.Submission)
+	if err != nil {
+		return err
+	}
+	if !s.e.owns(id.Owner) {
+		return errors.NotFoundf("incarnation %s", id.Owner)
+	}
+	var a jobapi.JobAnswer
+	switch req.Op {
+	case wire.ForwardSubmit:
+		if req.Job == nil {
+			return errors.NotValidf("forwarded submission without a job")
+		}
+		a = s.e.submitOwn(context.Background(), id, req.Job, req.Wait)
+	case wire.ForwardCancel:
+		a = s.e.cancelOwn(id)
+	default:
+		a = s.e.getOwn(context.Background(), id, req.Wait)
+	}
+	reply.Answer, reply.Status = a, statusOf(a)
+	return nil
+}
+
+// PullConfig returns the configuration document if it is newer.
+func (s service) PullConfig(req *wire.PullRequest, reply *wire.PullReply) error {
+	return s.e.fillPull(req, reply)
+}
+
+// Drain starts or ends draining.
+func (s service) Drain(req *wire.DrainRequest, _ *wire.DrainReply) error {
+	s.e.SetDraining(req.Drain)
+	return nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -220,11 +220,15 @@
 	// Sidecar is the incarnation that issued the credits.
 	Sidecar ident.Process `msgpack:"s"`
 	Starts  []Start       `msgpack:"t,omitempty"`
-	Demand  []Demand      `msgpack:"d,omitempty"`
+	// Returned are unspent credits given back.
+	Returned []Credit `msgpack:"r,omitempty"`
+	Demand   []Demand `msgpack:"d,omitempty"`
 }
 
-// DispatchReply has one code per start.
+// DispatchReply has one code per start. Gone is true if the addressed
+// incarnation is not the one that answers; nothing was started then.
 type DispatchReply struct {
+	Gone   bool         `msgpack:"o,omitempty"`
 	Codes  []RefuseCode `msgpack:"c,omitempty"`
 	Grants []Grant      `msgpack:"g,omitempty"`
 }
@@ -333,15 +337,22 @@
 // PeerBeat is the heartbeat between entry instances; request and reply have
 // the same shape.
 type PeerBeat struct {
-	Entry     Peer            `msgpack:"e"`
-	Window    uint64          `msgpack:"w"`
-	Revisions Revisions       `msgpack:"v"`
-	Sidecars  []SidecarRef    `msgpack:"s,omitempty"`
-	Entries   []Peer          `msgpack:"l,omitempty"`
-	Dead      []ident.Process `msgpack:"d,omitempty"`
-	Given     []ShareTotal    `msgpack:"g,omitempty"`
-	Want      []ShareDemand   `msgpack:"m,omitempty"`
-	Draining  bool            `msgpack:"r,omitempty"`
+	Entry     Peer      `msgpack:"e"`
+	Window    uint64    `msgpack:"w"`
+	Revisions Revisions `msgpack:"v"`
+	// Sidecars is the list that SidecarsHash identifies; it is left out if the
+	// receiver's HaveHash shows that it holds the same list.
+	Sidecars     []SidecarRef `msgpack:"s,omitempty"`
+	SidecarsHash uint64       `msgpack:"h"`
+	// HaveHash is the hash of the receiver's list that the sender holds.
+	HaveHash uint64 `msgpack:"a,omitempty"`
+	// Gone are sidecar incarnations that are gone.
+	Gone     []ident.Process `msgpack:"k,omitempty"`
+	Entries  []Peer          `msgpack:"l,omitempty"`
+	Dead     []ident.Process `msgpack:"d,omitempty"`
+	Given    []ShareTotal    `msgpack:"g,omitempty"`
+	Want     []ShareDemand   `msgpack:"m,omitempty"`
+	Draining bool            `msgpack:"r,omitempty"`
 }
 
 // PullRequest asks for the configuration document if it is newer than Have.
