settings: add strict JSON settings per role

Cause: the daemon roles need static settings that are checked as a whole. Change: internal/settings decodes one file with a section per role over defaults, rejects unknown fields, and reports all faults at once with field, value and allowed range.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const goodEntry = `{"entry":{"instance":"e1","zone":"z1","callerAddress":"10.0.0.1:80",
+"operatorAddress":"10.0.0.1:81","internalAddress":"10.0.0.1:82","store":{"address":"10.0.0.9:2379"},
+"beatInterval":"250ms"}}`
+
+// Guards against defaults that a partial file loses or that override it.
+func TestParseKeepsDefaults(t *testing.T) {
+	f, err := Parse([]byte(goodEntry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := f.Entry
+	if e.BeatInterval.Std() != 250*time.Millisecond || e.CreditTTL.Std() != 3*time.Second ||
+		e.Store.Timeout.Std() != 2*time.Second || f.Sidecar != nil || e.Advertised() != "10.0.0.1:82" {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// Guards against a check that stops at the first fault, and against unknown
+// fields that are dropped silently.
+func TestParseReportsAllFaults(t *testing.T) {
+	_, err := Parse([]byte(`{"entry":{"instance":"a b","zone":"","callerAddress":"nowhere","operatorAddress":"10.0.0.1:80",
+"internalAddress":"0.0.0.0:82","peers":["x","10.0.0.2:82","10.0.0.2:82"],"store":{"address":"10.0.0.9:0","tiemout":"1s","timeout":5},
+"creditTTL":"1s","selfLease":"4s","window":null,"acceptWindows":0,"requestBytes":1,"colour":"red"},
+"sidecar":{"instance":"s1","zone":"z","rack":"r","localAddress":"10.0.0.1:1","internalAddress":"10.0.0.1:2",
+"operatorAddress":"10.0.0.1:2","entryAddresses":[]},"extra":1}`))
+	if !errors.Is(err, errors.NotValid) {
+		t.Fatalf("got %v, want a not valid error", err)
+	}
+	for _, field := range []string{
+		"entry.instance", "entry.zone", "entry.callerAddress", "entry.internalAddress", "entry.peers[0]", "entry.peers[2]",
+		"entry.store.address", "entry.store.tiemout", "entry.store.timeout", "entry.creditTTL", "entry.deadAfter", "entry.window",
+		"entry.acceptWindows", "entry.requestBytes", "entry.colour", "sidecar.localAddress", "sidecar.operatorAddress",
+		"sidecar.entryAddresses", "extra",
+	} {
+		if !strings.Contains(err.Error(), "\n  "+field+": ") {
+			t.Errorf("no fault of %s in:\n%v", field, err)
+		}
+	}
+	if !strings.Contains(err.Error(), "entry.creditTTL: 1s: want 1.5s to 1m0s") {
+		t.Errorf("no value and range of creditTTL in:\n%v", err)
+	}
+}
+
+// Guards against a panic or an acceptance of files that aren't one object.
+func TestParseRejectsOtherValues(t *testing.T) {
+	for _, text := range []string{"", "[]", "null", "{}", "{} {}", `{"entry":3}`, `{"entry":null}`} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("Parse(%q) = nil error", text)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodEntry))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if file, err := Parse(data); err == nil && file.Check() != nil {
+			t.Errorf("accepted settings fail their own check: %v", file.Check())
+		}
+	})
+}
