event, metrics: add numbered events and tally metrics

Cause: operators need a catalogue of events and a histogram for each team and kind. go.mod lacked the requirements of tally's Prometheus reporter. Change: internal/event has a typed catalogue, docs/EVENTS.md and a test that compares both ways. internal/metrics has the root scope, capped histograms per team and kind, and a handler for /metrics. Hyphens stay in label values: the reporter's default maps team a-b and a_b to one time series. go get added the missing indirect requirements of tally/prometheus and client_golang.

--- /dev/null
+++ b/internal/event/config.go
@@ -0,0 +1,47 @@
+package event
+
+// Events of the area config.
+var (
+	ConfigInForce = &Event{
+		Number: 3001, Severity: Info, Name: "configuration in force",
+		Meaning: "This process uses a new revision.",
+		Action:  "None.",
+	}
+	ConfigRejected = &Event{
+		Number: 3002, Severity: Error, Name: "configuration rejected",
+		Meaning: "A revision is invalid or unreadable; the old one stays in use.",
+		Action:  "Correct the resource; see the condition Rejected in its status.",
+	}
+	ConfigPulled = &Event{
+		Number: 3003, Severity: Info, Name: "configuration pulled from peer",
+		Meaning: "A newer revision came from a peer.",
+		Action:  "None.",
+	}
+	ConfigRestored = &Event{
+		Number: 3004, Severity: Warning, Name: "configuration written back",
+		Meaning: "The store had an older revision than this process; the newest accepted document was written back.",
+		Action:  "Find out who restored the store.",
+	}
+	ConfigAccepted = &Event{
+		Number: 3005, Severity: Info, Name: "change accepted",
+		Meaning: "An operator's change is in the store.",
+		Action:  "None.",
+	}
+	ConfigConflict = &Event{
+		Number: 3006, Severity: Info, Name: "change conflicts",
+		Meaning: "A change named an old resourceVersion and was refused.",
+		Action:  "The operator reads again and repeats the edit.",
+	}
+	ConfigUnknown = &Event{
+		Number: 3007, Severity: Error, Name: "change outcome unknown",
+		Meaning: "The store did not confirm a change and reading back failed.",
+		Action:  "The operator reads the resource before repeating the edit.",
+	}
+	ConfigMissing = &Event{
+		Number: 3008, Severity: Warning, Name: "no configuration yet",
+		Meaning: "The process started and has found no document; it accepts no work.",
+		Action:  "Apply a configuration, or restore the contact to the store or peers.",
+	}
+)
+
+var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigRestored, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigMissing}
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,69 @@
+package event
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/juju/errors"
+)
+
+// Guards against a catalogue page that misses an event, lists a removed one or
+// words one differently from the code.
+func TestPageMatchesCode(t *testing.T) {
+	data, err := os.ReadFile("../../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := map[string]bool{}
+	for _, line := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(line, "| E") {
+			page[line] = true
+		}
+	}
+	for _, e := range All() {
+		row := fmt.Sprintf("| E%04d | %s | %s | %s | %s |", e.Number, e.Severity, e.Name, e.Meaning, e.Action)
+		if !page[row] {
+			t.Errorf("docs/EVENTS.md lacks the row\n%s", row)
+		}
+		delete(page, row)
+	}
+	for row := range page {
+		t.Errorf("docs/EVENTS.md has a row that is not in the code:\n%s", row)
+	}
+}
+
+// Guards against two events with one number or name, and incomplete events.
+func TestCatalogueIsUnique(t *testing.T) {
+	numbers, names := map[int]bool{}, map[string]bool{}
+	last := 0
+	for _, e := range All() {
+		if e.Number <= last || numbers[e.Number] || names[e.Name] {
+			t.Errorf("%s: number or name occurs twice or is out of order", e)
+		}
+		if e.Meaning == "" || e.Action == "" || e.Severity == "" || strings.Contains(e.Meaning+e.Action, "|") {
+			t.Errorf("%s: incomplete or with a table separator", e)
+		}
+		numbers[e.Number], names[e.Name], last = true, true, e.Number
+	}
+}
+
+// Guards against log lines without number, error or pairs.
+func TestTo(t *testing.T) {
+	var lines []string
+	logger := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	To(logger, EntryStarted, "instance", "e1")
+	To(logger, StoreUnavailable, "step", "get", "err", errors.New("timed out"), "peer", "s")
+	for i, want := range [][]string{
+		{"E1001 entry started", `"instance"="e1"`},
+		{"E8001 store unavailable", `"error"="timed out"`, `"step"="get" "peer"="s"`},
+	} {
+		for _, part := range want {
+			if !strings.Contains(lines[i], part) {
+				t.Errorf("line %q lacks %s", lines[i], part)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/event/limits.go
@@ -0,0 +1,37 @@
+package event
+
+// Events of the area limits.
+var (
+	LimitRaised = &Event{
+		Number: 5001, Severity: Info, Name: "limit raised",
+		Meaning: "The increase was added to a share.",
+		Action:  "None.",
+	}
+	LimitLowering = &Event{
+		Number: 5002, Severity: Warning, Name: "limit lowering",
+		Meaning: "An allowed decrease is under way; holders above their share start nothing.",
+		Action:  "None; the condition Lowering ends when the sum is at the new limit.",
+	}
+	LimitLowered = &Event{
+		Number: 5003, Severity: Info, Name: "limit lowered",
+		Meaning: "The sum of shares is at the new limit.",
+		Action:  "None.",
+	}
+	ShareReclaimed = &Event{
+		Number: 5004, Severity: Info, Name: "share reclaimed",
+		Meaning: "The share of a dead incarnation returned to the live ones.",
+		Action:  "None.",
+	}
+	ShareHeld = &Event{
+		Number: 5005, Severity: Warning, Name: "share held by dead incarnation",
+		Meaning: "Part of a limit is unused until a dead incarnation's tasks must have ended.",
+		Action:  "None; it is reclaimed after the longest deadline, once the store is available.",
+	}
+	DecreaseRefused = &Event{
+		Number: 5006, Severity: Info, Name: "decrease refused",
+		Meaning: "An edit would lower a limit and does not carry allowDecrease=true.",
+		Action:  "The operator repeats the edit with the flag if the decrease is meant.",
+	}
+)
+
+var limitEvents = []*Event{LimitRaised, LimitLowering, LimitLowered, ShareReclaimed, ShareHeld, DecreaseRefused}
--- /dev/null
+++ b/internal/event/membership.go
@@ -0,0 +1,52 @@
+package event
+
+// Events of the area membership.
+var (
+	PeerSeen = &Event{
+		Number: 4001, Severity: Info, Name: "entry peer seen",
+		Meaning: "Another entry incarnation was seen for the first time.",
+		Action:  "None.",
+	}
+	PeerLost = &Event{
+		Number: 4002, Severity: Warning, Name: "entry peer lost",
+		Meaning: "An entry instance sends no heartbeats.",
+		Action:  "Replace it if the platform does not.",
+	}
+	SidecarAttached = &Event{
+		Number: 4003, Severity: Info, Name: "sidecar attached",
+		Meaning: "A sidecar incarnation attached to this entry instance.",
+		Action:  "None.",
+	}
+	SidecarLost = &Event{
+		Number: 4004, Severity: Warning, Name: "sidecar lost",
+		Meaning: "A sidecar is silent or refuses connections; its credits are dropped and its tasks may have run.",
+		Action:  "Check the worker named.",
+	}
+	RackLost = &Event{
+		Number: 4005, Severity: Error, Name: "rack lost",
+		Meaning: "All workers of a rack were lost within one second.",
+		Action:  "Check the rack's switch and power.",
+	}
+	ZoneLost = &Event{
+		Number: 4006, Severity: Error, Name: "zone lost",
+		Meaning: "All workers of a zone were lost within one second.",
+		Action:  "Check the zone; work continues in the others.",
+	}
+	EntryChosen = &Event{
+		Number: 4007, Severity: Info, Name: "entry instance chosen",
+		Meaning: "The sidecar attached to another entry instance after a loss or a change of the list.",
+		Action:  "None.",
+	}
+	NoEntryReached = &Event{
+		Number: 4008, Severity: Error, Name: "no entry instance reached",
+		Meaning: "The sidecar reaches no entry instance and retries with a growing delay.",
+		Action:  "Check entryAddresses and the network.",
+	}
+	RegionUnreached = &Event{
+		Number: 4009, Severity: Warning, Name: "other region not reached",
+		Meaning: "No entry instance of the other region answers; each region continues on its own.",
+		Action:  "Check the link between the regions.",
+	}
+)
+
+var membershipEvents = []*Event{PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached}
--- /dev/null
+++ b/internal/event/sidecar.go
@@ -0,0 +1,67 @@
+package event
+
+// Events of the area sidecar.
+var (
+	SidecarStarted = &Event{
+		Number: 2001, Severity: Info, Name: "sidecar started",
+		Meaning: "The sidecar serves its ports.",
+		Action:  "None.",
+	}
+	SidecarStopped = &Event{
+		Number: 2002, Severity: Info, Name: "sidecar stopped",
+		Meaning: "The sidecar has ended its graceful shutdown.",
+		Action:  "None.",
+	}
+	SidecarDraining = &Event{
+		Number: 2003, Severity: Info, Name: "sidecar draining",
+		Meaning: "The sidecar grants no more credits and finishes running tasks.",
+		Action:  "None; it stops when its tasks have ended.",
+	}
+	SidecarDrainTimeout = &Event{
+		Number: 2004, Severity: Warning, Name: "sidecar drain timed out",
+		Meaning: "The shutdown bound passed with tasks running; their outcome is mayHaveRun.",
+		Action:  "Raise shutdownTimeout above the longest task.",
+	}
+	BackendAnnounced = &Event{
+		Number: 2005, Severity: Info, Name: "backend server announced",
+		Meaning: "A backend server announced itself or changed its data.",
+		Action:  "None.",
+	}
+	BackendLeaving = &Event{
+		Number: 2006, Severity: Info, Name: "backend server leaving",
+		Meaning: "The backend server asked for no more work; credits are recalled.",
+		Action:  "None.",
+	}
+	BackendLeaseExpired = &Event{
+		Number: 2007, Severity: Warning, Name: "backend server lease expired",
+		Meaning: "The backend server stopped renewing its announcement; no new work starts on it.",
+		Action:  "Check the backend server's process.",
+	}
+	BackendRefused = &Event{
+		Number: 2008, Severity: Warning, Name: "backend server refused connection",
+		Meaning: "The backend server refused a connection; the tasks go back to their owners' queues.",
+		Action:  "Check the backend server's process.",
+	}
+	BackendBroken = &Event{
+		Number: 2009, Severity: Warning, Name: "backend server connection broken",
+		Meaning: "A connection broke after the request was written; the task may have run.",
+		Action:  "Check the backend server's log for a crash.",
+	}
+	OwnerFenced = &Event{
+		Number: 2010, Severity: Warning, Name: "owner fenced",
+		Meaning: "A dead entry incarnation is fenced here; it can start nothing any more.",
+		Action:  "None.",
+	}
+	LedgerBodiesEvicted = &Event{
+		Number: 2011, Severity: Warning, Name: "ledger bodies evicted",
+		Meaning: "The byte limit of the ledger was reached and the oldest result bodies were dropped.",
+		Action:  "Raise ledgerBytes, or let tasks return smaller results.",
+	}
+	CreditsExpired = &Event{
+		Number: 2012, Severity: Info, Name: "credits expired",
+		Meaning: "Credits ran out before use, after a pause or a lost contact.",
+		Action:  "None.",
+	}
+)
+
+var sidecarEvents = []*Event{SidecarStarted, SidecarStopped, SidecarDraining, SidecarDrainTimeout, BackendAnnounced, BackendLeaving, BackendLeaseExpired, BackendRefused, BackendBroken, OwnerFenced, LedgerBodiesEvicted, CreditsExpired}
--- /dev/null
+++ b/internal/metrics/class.go
@@ -0,0 +1,136 @@
+package metrics
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+)
+
+// Class holds the histograms and counters of one team and kind.
+type Class struct {
+	key classKey
+	// Response is the time from the receipt of a job to its answer.
+	Response *Histogram
+	// Run is the time that a task ran on the backend server.
+	Run *Histogram
+	// Wait is the time from the admission of a task to its dispatch.
+	Wait *Histogram
+	// Jobs counts answered jobs by state.
+	Jobs Counters
+	// Tasks counts ended tasks by state.
+	Tasks Counters
+	// Refused counts refused jobs by reason.
+	Refused Counters
+}
+
+func newClass(root tally.Scope, key classKey) *Class {
+	scope := root.Tagged(map[string]string{"team": key.team, "kind": key.kind})
+	return &Class{
+		key:      key,
+		Response: newHistogram(scope, "job_response_seconds"),
+		Run:      newHistogram(scope, "task_run_seconds"),
+		Wait:     newHistogram(scope, "queue_wait_seconds"),
+		Jobs:     Counters{scope: scope, name: "jobs_total", label: "state"},
+		Tasks:    Counters{scope: scope, name: "tasks_total", label: "state"},
+		Refused:  Counters{scope: scope, name: "jobs_refused_total", label: "reason"},
+	}
+}
+
+func (c *Class) stats() ClassStats {
+	return ClassStats{
+		Team: c.key.team, Kind: c.key.kind,
+		Response: c.Response.Summary(), Run: c.Run.Summary(), Wait: c.Wait.Summary(),
+	}
+}
+
+// Counters counts by the values of one label, which have to come from a fixed
+// set such as job states.
+type Counters struct {
+	scope       tally.Scope
+	name, label string
+}
+
+// Add adds n to the counter of a label value.
+func (c Counters) Add(value string, n int64) {
+	c.scope.Tagged(map[string]string{c.label: value}).Counter(c.name).Inc(n)
+}
+
+// Histogram records durations for Prometheus and for the summary of the
+// Resource API.
+type Histogram struct {
+	tally tally.Histogram
+
+	mu      sync.Mutex
+	buckets []int64 // one per bound of resource.BucketsMs, and one above
+	sum     float64 // milliseconds
+	max     float64 // milliseconds
+}
+
+func newHistogram(scope tally.Scope, name string) *Histogram {
+	bounds := make(tally.DurationBuckets, len(resource.BucketsMs))
+	for i, ms := range resource.BucketsMs {
+		bounds[i] = time.Duration(ms * float64(time.Millisecond))
+	}
+	return &Histogram{tally: scope.Histogram(name, bounds), buckets: make([]int64, len(resource.BucketsMs)+1)}
+}
+
+// Record adds one duration.
+func (h *Histogram) Record(d time.Duration) {
+	h.tally.RecordDuration(d)
+	ms := float64(d) / float64(time.Millisecond)
+	i := 0
+	for i < len(resource.BucketsMs) && ms > resource.BucketsMs[i] {
+		i++
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.buckets[i]++
+	h.sum += ms
+	h.max = math.Max(h.max, ms)
+}
+
+// Summary returns the counts and quantiles since the start of the process. A
+// quantile is interpolated within its bucket.
+func (h *Histogram) Summary() resource.Histogram {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := resource.Histogram{Max: h.max, Buckets: append([]int64(nil), h.buckets...)}
+	for _, n := range h.buckets {
+		s.Count += n
+	}
+	if s.Count == 0 {
+		return resource.Histogram{}
+	}
+	s.Mean = h.sum / float64(s.Count)
+	s.P50 = Quantile(s.Buckets, h.max, 0.50)
+	s.P90 = Quantile(s.Buckets, h.max, 0.90)
+	s.P99 = Quantile(s.Buckets, h.max, 0.99)
+	return s
+}
+
+// Quantile interpolates the q quantile of bucket counts over the bounds of
+// resource.BucketsMs, in milliseconds. No result exceeds max.
+func Quantile(buckets []int64, max, q float64) float64 {
+	var total int64
+	for _, n := range buckets {
+		total += n
+	}
+	rank := q * float64(total)
+	below, lower := 0.0, 0.0
+	for i, n := range buckets {
+		upper := max
+		if i < len(resource.BucketsMs) {
+			upper = math.Min(max, resource.BucketsMs[i])
+		}
+		if n > 0 && below+float64(n) >= rank {
+			return lower + (upper-lower)*(rank-below)/float64(n)
+		}
+		below += float64(n)
+		lower = upper
+	}
+	return max
+}
