--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -28,11 +28,11 @@
 	ctx context.Context
 
 	mu    sync.Mutex // guards addrs
-	addrs map[string]bool
+	addrs map[string]chan struct{}
 }
 
 func newBeats(ctx context.Context, c *core) *beats {
-	return &beats{c: c, ctx: ctx, addrs: map[string]bool{}}
+	return &beats{c: c, ctx: ctx, addrs: map[string]chan struct{}{}}
 }
 
 // add starts heartbeats to an address if there are none yet.
@@ -42,14 +42,27 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.addrs[addr] || b.ctx.Err() != nil {
+	if b.addrs[addr] != nil || b.ctx.Err() != nil {
 		return
 	}
-	b.addrs[addr] = true
-	b.c.e.wg.Go(func() { b.loop(addr) })
+	poked := make(chan struct{}, 1)
+	b.addrs[addr] = poked
+	b.c.e.wg.Go(func() { b.loop(addr, poked) })
 }
 
-func (b *beats) loop(addr string) {
+// poke has all heartbeats sent now.
+func (b *beats) poke() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.addrs {
+		select {
+		case p <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (b *beats) loop(addr string, poked <-chan struct{}) {
 	client := rpcnet.NewClient(addr)
 	defer client.Close()
 	var have uint64
@@ -73,14 +86,15 @@
 			}
 			wait *= time.Duration(min(failed, maxBackoff))
 		}
-		b.sleep(wait)
+		b.sleep(wait, poked)
 	}
 }
 
 func (b *beats) once(client *rpcnet.Client, to ident.Process, have uint64) (*wire.PeerBeat, error) {
 	ctx, cancel := context.WithTimeout(b.ctx, beatTimeout)
 	defer cancel()
-	req := b.c.ownBeat(to)
+	var req wire.PeerBeat
+	b.c.call(func(now time.Duration) { req = b.c.ownBeat(now, to) })
 	req.HaveHash = have
 	var reply wire.PeerBeat
 	if err := client.Call(ctx, wire.ServiceEntry+".PeerBeat", &req, &reply); err != nil {
@@ -106,11 +120,12 @@
 	b.mu.Unlock()
 }
 
-// sleep waits for up to d, jittered so that instances don't beat in step.
-func (b *beats) sleep(d time.Duration) {
+// sleep waits for up to d or until poked, jittered so that instances don't beat in step.
+func (b *beats) sleep(d time.Duration, poked <-chan struct{}) {
 	d = d*3/4 + b.c.e.jitter(d/4)
 	select {
 	case <-b.ctx.Done():
+	case <-poked:
 	case <-time.After(d):
 	}
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -6,17 +6,18 @@
 import (
 	"time"
 
-	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
-	"github.com/fasthttp/router"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/fasthttp/router"
 )
 
 // Config is the static configuration of an entry instance.
 type Config struct {
 	Instance string
 	Zone     string
+	// Region holds zones that are cut off from others together.
+	Region string
 	// CallerAddress, OperatorAddress and InternalAddress are listen addresses.
 	CallerAddress, OperatorAddress, InternalAddress string
 	// Advertise is the internal address that other processes use; empty
@@ -34,6 +35,9 @@
 	// SilentAfter is the silence after which a peer is not used, and GoneAfter
 	// the silence after which it is given up.
 	SilentAfter, GoneAfter time.Duration
+	// ReclaimAfter is the silence after which an entry instance of another
+	// region is given up, so that its limit shares can be taken back.
+	ReclaimAfter time.Duration
 	// Window is the length of a submission window.
 	Window time.Duration
 	// MaxBody bounds a caller's request body in bytes.
@@ -53,6 +57,7 @@
 	DefaultSelfLease    = 2 * time.Second
 	DefaultSilentAfter  = 3 * time.Second
 	DefaultGoneAfter    = 20 * time.Second
+	DefaultReclaimAfter = 15 * time.Minute
 	DefaultWindow       = time.Minute
 	DefaultMaxBody      = 8 << 20
 	DefaultReadTimeout  = 10 * time.Second
@@ -70,6 +75,7 @@
 	set(&c.SelfLease, DefaultSelfLease)
 	set(&c.SilentAfter, DefaultSilentAfter)
 	set(&c.GoneAfter, DefaultGoneAfter)
+	set(&c.ReclaimAfter, DefaultReclaimAfter)
 	set(&c.Window, DefaultWindow)
 	set(&c.ReadTimeout, DefaultReadTimeout)
 	set(&c.DrainTimeout, DefaultDrainTimeout)
@@ -94,8 +100,6 @@
 // Deps are the collaborators of an entry instance.
 type Deps struct {
 	Configuration Configuration
-	Operator func(*router.Router)
-	Metrics *metrics.Registry
-	// Limits shares the limits with the other entry instances; nil means none.
-	Limits *escrow.Ledger
+	Operator      func(*router.Router)
+	Metrics       *metrics.Registry
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"math/rand"
 	"sync/atomic"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
+	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
 	"github.com/cardamomturn/cardamomturn/internal/event"
@@ -58,6 +59,11 @@
 	last      time.Duration
 	dueTick   time.Duration
 	document  *resource.Document
+	ledger    *escrow.Ledger
+	// allocation is the newest limit allocation; it outlives an incarnation.
+	allocation *escrow.Allocation
+	// missing holds when a holder of limit shares was first found not live.
+	missing map[string]time.Duration
 
 	// self, window, demand and view are read by other goroutines.
 	self     atomic.Pointer[ident.Process]
@@ -72,16 +78,20 @@
 		e:       e,
 		inputs:  make(chan input, coreQueue),
 		done:    make(chan struct{}),
-		rnd:     rand.New(rand.NewPCG(e.cfg.Seed, 1)),
+		rnd:     rand.New(rand.NewSource(int64(e.cfg.Seed))),
 		retired: map[ident.Process]*dispatch.Machine{},
 		waiters: map[string][]chan jobapi.JobAnswer{},
 		links:   map[ident.Process]*sidecar{},
 		peers:   map[ident.Process]*peerState{},
 		gone:    map[ident.Process]time.Duration{},
+		missing: map[string]time.Duration{},
 		losses:  membership.NewGrouper(time.Second),
 	}
 	bounds := membership.Config{SilentAfter: e.cfg.SilentAfter, DeadAfter: e.cfg.GoneAfter, Retain: retainWindows * e.cfg.Window}
 	c.sidecars = membership.New(bounds)
+	// A silent entry instance may be cut off for minutes with its region; it is
+	// declared dead earlier only when that is needed and safe.
+	bounds.DeadAfter = max(e.cfg.ReclaimAfter, e.cfg.GoneAfter)
 	c.entries = membership.New(bounds)
 	c.begin(0)
 	return c
@@ -91,11 +101,17 @@
 func (c *core) begin(now time.Duration) {
 	p := ident.Process{Instance: c.e.cfg.Instance, Incarnation: c.rnd.Uint64()}
 	c.self.Store(&p)
+	c.ledger = escrow.New(p)
+	c.ledger.Tick(now)
+	if c.document != nil {
+		c.ledger.SetDocument(c.document)
+	}
+	c.ledger.Apply(c.allocation)
 	c.machine = dispatch.New(dispatch.Config{
 		Self:      p,
 		Zone:      c.e.cfg.Zone,
 		CreditTTL: c.e.cfg.CreditTTL,
-		Limiter:   c.e.limiter(),
+		Limiter:   c.ledger,
 	}, c.rnd)
 	c.machine.SetWindow(now, c.window.Load())
 	c.machine.Drain(c.draining.Load())
@@ -212,12 +228,14 @@
 	}
 	if doc := c.e.config.Current(); doc != nil && doc != c.document {
 		c.document = doc
+		c.ledger.SetDocument(doc)
 		c.machine.SetDocument(now, doc)
 	}
 	c.sidecars.Tick(now)
 	c.entries.Tick(now)
 	c.follow(now)
 	c.checkLease(now)
+	c.ledger.Tick(now)
 	c.machine.Tick(now)
 	for _, l := range c.losses.Due(now, c.sidecars.In(membership.Live)) {
 		c.e.log(lossEvents[l.Scope], "place", l.Place, "members", l.Members)
@@ -252,6 +270,12 @@
 
 // flush carries out the machine's actions and publishes the demand.
 func (c *core) flush(now time.Duration) {
+	if c.ledger.Changed() {
+		c.machine.Wake(now)
+	}
+	if c.ledger.Asking() {
+		c.e.beats.poke()
+	}
 	for {
 		actions := c.machine.Actions()
 		d := c.machine.Demand(now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
-	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -191,10 +190,14 @@
 	return errors.Annotate(err, "shut down the caller port")
 }
 
-// unanswered counts the jobs without an answer and the requests in flight.
+// unanswered counts the tasks that have not ended and the requests in flight.
 func (e *Entry) unanswered() int64 {
 	n := e.inFlight.Load()
-	e.core.call(func(time.Duration) { n += int64(e.core.machine.Open()) })
+	e.core.call(func(time.Duration) {
+		for _, c := range e.core.machine.Stats() {
+			n += int64(c.Queued + c.Running)
+		}
+	})
 	return n
 }
 
@@ -217,13 +220,6 @@
 	e.wg.Wait()
 }
 
-func (e *Entry) limiter() dispatch.Limiter {
-	if e.deps.Limits == nil {
-		return nil
-	}
-	return e.deps.Limits
-}
-
 // log writes a numbered event.
 func (e *Entry) log(ev *event.Event, pairs ...any) { event.To(klog.Background(), ev, pairs...) }
 
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -49,7 +49,7 @@
 }
 
 func (e *Entry) reportPanic(path string, value any, stack []byte) {
-	e.log(event.HandlerPanic, "path", path, "value", fmt.Sprint(value), "stack", string(stack))
+	e.log(event.HTTPPanic, "path", path, "value", fmt.Sprint(value), "stack", string(stack))
 }
 
 // prefix returns the submission prefix that is issued now.
--- /dev/null
+++ b/internal/entry/limits.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// settleMargin is added to the longest deadline before the share of a dead
+// holder is taken back.
+const settleMargin = 2 * time.Second
+
+// limitsTold adds the limit shares to a heartbeat.
+func (c *core) limitsTold(now time.Duration, to ident.Process, b *wire.PeerBeat) {
+	b.Given = c.ledger.Given(to)
+	b.Want = c.ledger.Wants(now)
+	b.Flows = c.ledger.Flows()
+	if c.allocation != nil {
+		b.Allocation = c.allocation.Seq
+	}
+}
+
+// limitsHeard takes the limit shares of a peer's heartbeat.
+func (c *core) limitsHeard(now time.Duration, ps *peerState, b *wire.PeerBeat) {
+	from := b.Entry.Process
+	ps.dead, ps.flows = b.Dead, b.Flows
+	c.ledger.Receive(from, b.Given)
+	c.ledger.Give(now, from, b.Want)
+	if c.allocation == nil && b.Allocation > 0 || c.allocation != nil && b.Allocation > c.allocation.Seq {
+		c.e.pullAllocation(ps.client)
+	}
+}
+
+// pullAllocation reads the limit allocation from a peer.
+func (e *Entry) pullAllocation(peer *rpcnet.Client) {
+	e.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, pullTimeout)
+		defer cancel()
+		var reply wire.PullAllocationReply
+		if peer.Call(ctx, wire.ServiceEntry+".PullAllocation", &wire.PullRequest{}, &reply) != nil || len(reply.Allocation) == 0 {
+			return
+		}
+		var a escrow.Allocation
+		if json.Unmarshal(reply.Allocation, &a) == nil {
+			e.ApplyAllocation(&a)
+		}
+	})
+}
+
+// ApplyAllocation takes a limit allocation if it is newer than the one held.
+func (e *Entry) ApplyAllocation(a *escrow.Allocation) {
+	e.core.call(func(time.Duration) {
+		if e.core.ledger.Apply(a) {
+			e.core.allocation = a
+		}
+	})
+}
+
+// Allocation returns the limit allocation held, or nil.
+func (e *Entry) Allocation() *escrow.Allocation {
+	var a *escrow.Allocation
+	e.core.call(func(time.Duration) { a = e.core.allocation })
+	return a
+}
+
+// PlanAllocation returns the next limit allocation to be written to the
+// store, or nil. from is the allocation that the store holds, nil if none.
+func (e *Entry) PlanAllocation(from *escrow.Allocation) *escrow.Allocation {
+	var next *escrow.Allocation
+	e.core.call(func(now time.Duration) { next = e.core.planAllocation(now, from) })
+	return next
+}
+
+func (c *core) planAllocation(now time.Duration, from *escrow.Allocation) *escrow.Allocation {
+	if c.allocation != nil && (from == nil || from.Seq < c.allocation.Seq) {
+		// The store went back to an older state: write the newer one back.
+		return c.allocation
+	}
+	if c.document == nil || !c.leads() {
+		return nil
+	}
+	if next := from.Reallocate(c.document.Revision, c.ledger.Limits(), *c.self.Load()); next != nil {
+		return next
+	}
+	return c.settle(now, from)
+}
+
+// leads reports whether this process is the first of the live entry
+// instances, which writes allocations; compare-and-swap decides if two
+// processes think so.
+func (c *core) leads() bool {
+	self := c.self.Load().String()
+	for _, m := range c.entries.In(membership.Live) {
+		if m.Peer.Process.String() < self {
+			return false
+		}
+	}
+	return true
+}
+
+// settle takes back the shares of dead holders, once they can start nothing
+// more and their tasks have ended.
+func (c *core) settle(now time.Duration, from *escrow.Allocation) *escrow.Allocation {
+	var dead []string
+	for holder := range from.Holders() {
+		if c.settled(now, holder) {
+			dead = append(dead, holder)
+		}
+	}
+	if len(dead) == 0 || len(c.entries.In(membership.Silent)) > 0 {
+		return nil
+	}
+	slices.Sort(dead)
+	flows := map[string][]wire.ShareFlow{c.self.Load().String(): c.ledger.Flows()}
+	for p, ps := range c.peers {
+		for _, d := range dead {
+			if !slices.ContainsFunc(ps.dead, func(q ident.Process) bool { return q.String() == d }) {
+				return nil
+			}
+		}
+		flows[p.String()] = ps.flows
+	}
+	c.e.log(event.ShareReclaimed, "holders", dead)
+	return from.Settle(dead, flows, *c.self.Load())
+}
+
+// settled reports whether a holder is dead and its tasks have ended. It
+// declares a holder dead that is missing for long enough.
+func (c *core) settled(now time.Duration, holder string) bool {
+	id, err := ident.Parse(holder + ".0.x")
+	p := id.Owner
+	if err != nil || p == *c.self.Load() {
+		return false
+	}
+	m, known := c.entries.Get(p)
+	if known && m.State == membership.Live {
+		delete(c.missing, holder)
+		return false
+	}
+	since, ok := c.missing[holder]
+	if !ok {
+		since = now
+		c.missing[holder] = now
+		c.e.log(event.ShareHeld, "holder", holder)
+	}
+	if !known || m.State != membership.Dead {
+		if c.replaced(p) || now-since > c.missingBound(m, known) {
+			c.killEntry(now, p)
+		}
+		return false
+	}
+	return now-max(since, m.Changed) > c.longestDeadline()+c.e.cfg.CreditTTL+settleMargin
+}
+
+// replaced reports whether a live process has taken the instance's name.
+func (c *core) replaced(p ident.Process) bool {
+	if p.Instance == c.e.cfg.Instance {
+		return true
+	}
+	for _, m := range c.entries.In(membership.Live) {
+		if m.Peer.Process.Instance == p.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// missingBound is the time after which a missing holder is declared dead. A
+// holder of another region may only be cut off.
+func (c *core) missingBound(m membership.Member, known bool) time.Duration {
+	if known && m.Peer.Region == c.e.cfg.Region {
+		return c.e.cfg.GoneAfter
+	}
+	return c.e.cfg.ReclaimAfter
+}
+
+func (c *core) longestDeadline() time.Duration {
+	longest := int64(0)
+	for _, k := range c.document.Kinds {
+		longest = max(longest, k.Spec.DeadlineMs)
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// giveAway gives idle limit shares to a peer, because this instance drains.
+func (c *core) giveAway(now time.Duration) {
+	for _, m := range c.entries.In(membership.Live) {
+		if ps := c.peers[m.Peer.Process]; ps != nil && !ps.draining {
+			c.ledger.GiveAll(now, m.Peer.Process)
+			c.e.beats.poke()
+			return
+		}
+	}
+}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -6,7 +6,6 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
-	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
 // observeJob records an answered job in the metrics.
@@ -40,9 +39,3 @@
 		c.e.log(event.EntryRetryBudgetSpent, "team", ev.Class.Team, "kind", ev.Class.Kind)
 	}
 }
-
-// limitsTold adds the limit shares to a heartbeat.
-func (e *Entry) limitsTold(_ any, _ *wire.PeerBeat) {}
-
-// limitsHeard takes the limit shares of a peer's heartbeat.
-func (e *Entry) limitsHeard(_ time.Duration, _ *wire.PeerBeat) {}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
 	"github.com/cardamomturn/cardamomturn/internal/event"
@@ -25,6 +26,10 @@
 	sidecars  []wire.SidecarRef
 	hash      uint64
 	draining  bool
+	// dead are the entry incarnations that the peer holds dead, and flows its
+	// final limit flows with them.
+	dead  []ident.Process
+	flows []wire.ShareFlow
 }
 
 // view is the membership as other goroutines read it; it is replaced as a
@@ -49,7 +54,7 @@
 // publish builds a new view and swaps it in.
 func (c *core) publish() {
 	v := &view{
-		self:     wire.Peer{Process: *c.self.Load(), Address: c.e.advertised(), Zone: c.e.cfg.Zone},
+		self:     wire.Peer{Process: *c.self.Load(), Address: c.e.advertised(), Zone: c.e.cfg.Zone, Region: c.e.cfg.Region},
 		peers:    map[ident.Process]*rpcnet.Client{},
 		known:    map[ident.Process]membership.Member{},
 		sidecars: map[ident.Process]*link{},
@@ -152,7 +157,7 @@
 			c.gone[q] = now
 		}
 	}
-	c.e.limitsHeard(now, b)
+	c.limitsHeard(now, ps, b)
 	c.follow(now)
 }
 
@@ -178,6 +183,7 @@
 	case membership.Dead:
 		c.e.log(event.EntryOwnerDead, "peer", p.String())
 		c.losses.Add(now, t.Member)
+		c.ledger.Close(p)
 		if ps := c.peers[p]; ps != nil {
 			go ps.client.Close()
 			delete(c.peers, p)
@@ -200,8 +206,8 @@
 	}()
 }
 
-// ownBeat builds the heartbeat to a peer.
-func (c *core) ownBeat(to ident.Process) wire.PeerBeat {
+// ownBeat builds the heartbeat to a peer, in the core loop.
+func (c *core) ownBeat(now time.Duration, to ident.Process) wire.PeerBeat {
 	v := c.view.Load()
 	b := wire.PeerBeat{
 		Entry:        v.self,
@@ -214,6 +220,6 @@
 		Draining:     c.draining.Load(),
 	}
 	b.Sidecars = v.refs
-	c.e.limitsTold(to, &b)
+	c.limitsTold(now, to, &b)
 	return b
 }
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -97,7 +97,8 @@
 func (e *Entry) tellPeer(ctx context.Context, p ident.Process, client *rpcnet.Client) bool {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	req := e.core.ownBeat(p)
+	var req wire.PeerBeat
+	e.core.call(func(now time.Duration) { req = e.core.ownBeat(now, p) })
 	var reply wire.PeerBeat
 	if client.Call(ctx, wire.ServiceEntry+".PeerBeat", &req, &reply) != nil {
 		return false
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -78,8 +80,10 @@
 	if req.Entry.Process.IsZero() {
 		return errors.NotValidf("heartbeat without process")
 	}
-	err := s.do(func(now time.Duration) { s.e.core.peerBeat(now, req) })
-	*reply = s.e.core.ownBeat(req.Entry.Process)
+	err := s.do(func(now time.Duration) {
+		s.e.core.peerBeat(now, req)
+		*reply = s.e.core.ownBeat(now, req.Entry.Process)
+	})
 	if req.HaveHash == reply.SidecarsHash {
 		reply.Sidecars = nil
 	}
@@ -116,6 +120,17 @@
 	return s.e.fillPull(req, reply)
 }
 
+// PullAllocation returns the limit allocation.
+func (s service) PullAllocation(_ *wire.PullRequest, reply *wire.PullAllocationReply) error {
+	var a *escrow.Allocation
+	if err := s.do(func(time.Duration) { a = s.e.core.allocation }); err != nil || a == nil {
+		return err
+	}
+	var err error
+	reply.Allocation, err = json.Marshal(a)
+	return errors.Annotate(err, "encode the limit allocation")
+}
+
 // Drain starts or ends draining.
 func (s service) Drain(req *wire.DrainRequest, _ *wire.DrainReply) error {
 	s.e.SetDraining(req.Drain)
--- /dev/null
+++ b/internal/entry/stats.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
+	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/httperr"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// Stats is the body of GET /v1/stats: what this entry instance has seen since
+// its start.
+type Stats struct {
+	Entry    wire.Peer            `json:"entry"`
+	Draining bool                 `json:"draining"`
+	Sidecars int                  `json:"sidecars"`
+	Peers    int                  `json:"peers"`
+	Classes  []ClassStats         `json:"classes"`
+	Waste    dispatch.Waste       `json:"waste"`
+	Times    []metrics.ClassStats `json:"times,omitempty"`
+	// InternalBytes counts the bytes that the internal port sent and received.
+	InternalBytes Bytes `json:"internalBytes"`
+}
+
+// Bytes counts sent and received bytes.
+type Bytes struct {
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
+}
+
+// ClassStats are the counters of one team and kind.
+type ClassStats struct {
+	Team      string           `json:"team"`
+	Kind      string           `json:"kind"`
+	Queued    int              `json:"queued"`
+	Running   int              `json:"running"`
+	Starts    int64            `json:"starts"`
+	Completed int64            `json:"completed"`
+	Failed    int64            `json:"failed"`
+	Refused   map[string]int64 `json:"refused,omitempty"`
+}
+
+// Stats returns the current figures.
+func (e *Entry) Stats() Stats {
+	var s Stats
+	e.core.call(func(time.Duration) {
+		v := e.core.view.Load()
+		s.Entry = v.self
+		s.Sidecars = len(e.core.sidecars.In(membership.Live))
+		s.Peers = len(v.peers)
+		s.Waste = e.core.machine.Waste()
+		for _, c := range e.core.machine.Stats() {
+			s.Classes = append(s.Classes, classStats(c))
+		}
+	})
+	s.Draining = e.core.draining.Load()
+	s.InternalBytes.Sent, s.InternalBytes.Received = e.rpc.Bytes()
+	if e.deps.Metrics != nil {
+		s.Times = e.deps.Metrics.Snapshot()
+	}
+	return s
+}
+
+func classStats(c dispatch.ClassStats) ClassStats {
+	out := ClassStats{
+		Team: c.Class.Team, Kind: c.Class.Kind, Queued: c.Queued, Running: c.Running,
+		Starts: c.Starts, Completed: c.Completed, Failed: c.Failed,
+	}
+	for reason, n := range c.Refused {
+		if out.Refused == nil {
+			out.Refused = map[string]int64{}
+		}
+		out.Refused[string(reason)] = n
+	}
+	return out
+}
+
+func (e *Entry) handleStats(ctx *fasthttp.RequestCtx) {
+	httperr.WriteJSON(ctx, fasthttp.StatusOK, e.Stats())
+}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -87,6 +87,11 @@
 		Meaning: "Jobs of the class are admitted again.",
 		Action:  "None.",
 	}
+	EntryRestarted = &Event{
+		Number: 1018, Severity: Warning, Name: "incarnation ended",
+		Meaning: "The process answered its jobs with what it knows and goes on as a new incarnation.",
+		Action:  "See the event before this one for the cause.",
+	}
 )
 
-var entryEvents = []*Event{EntryStarted, EntryStopped, EntryDraining, EntryDrainTimeout, EntryFenced, EntryLoopGap, EntrySelfLeaseLost, EntrySelfLeaseRegained, EntryOwnerDead, EntryRecoveryDone, EntryRecoveryIncomplete, EntryDispatchUnknown, EntryWorkerEjected, EntryWorkerReadmitted, EntryRetryBudgetSpent, EntryOverload, EntryOverloadEnded}
+var entryEvents = []*Event{EntryRestarted, EntryStarted, EntryStopped, EntryDraining, EntryDrainTimeout, EntryFenced, EntryLoopGap, EntrySelfLeaseLost, EntrySelfLeaseRegained, EntryOwnerDead, EntryRecoveryDone, EntryRecoveryIncomplete, EntryDispatchUnknown, EntryWorkerEjected, EntryWorkerReadmitted, EntryRetryBudgetSpent, EntryOverload, EntryOverloadEnded}
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -47,6 +47,11 @@
 		Meaning: "No entry instance of the other region answers; each region continues on its own.",
 		Action:  "Check the link between the regions.",
 	}
+	ProcessLost = &Event{
+		Number: 4010, Severity: Warning, Name: "process lost",
+		Meaning: "One process was lost while others of its rack and zone live.",
+		Action:  "Replace the instance if the platform does not.",
+	}
 )
 
-var membershipEvents = []*Event{PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached}
+var membershipEvents = []*Event{ProcessLost, PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,6 +109,8 @@
 	// Address is the internal address, "ip:port".
 	Address string `msgpack:"a" json:"address"`
 	Zone    string `msgpack:"z" json:"zone"`
+	// Region holds zones that are lost to other regions together.
+	Region string `msgpack:"g,omitempty" json:"region,omitempty"`
 }
 
 // AttachRequest attaches a sidecar to an entry instance. It is sent at the
@@ -322,18 +324,31 @@
 	InForce uint64 `msgpack:"f"`
 }
 
-// ShareTotal is the cumulative amount of a limit given to the receiver.
+// ShareTotal is the cumulative amount of a limit given to the receiver. Epoch
+// identifies the division of the limit that the amount belongs to.
 type ShareTotal struct {
 	Limit string `msgpack:"l"`
+	Epoch uint64 `msgpack:"e"`
 	Given int64  `msgpack:"g"`
 }
 
 // ShareDemand asks for an amount of a limit.
 type ShareDemand struct {
 	Limit string `msgpack:"l"`
+	Epoch uint64 `msgpack:"e"`
 	Want  int64  `msgpack:"w"`
 }
 
+// ShareFlow is what a live holder of a limit gave to and received from a dead one.
+type ShareFlow struct {
+	Limit string `msgpack:"l"`
+	Epoch uint64 `msgpack:"e"`
+	// Dead is the dead incarnation in text form.
+	Dead     string `msgpack:"d"`
+	Given    int64  `msgpack:"g,omitempty"`
+	Received int64  `msgpack:"r,omitempty"`
+}
+
 // PeerBeat is the heartbeat between entry instances; request and reply have
 // the same shape.
 type PeerBeat struct {
@@ -347,12 +362,16 @@
 	// HaveHash is the hash of the receiver's list that the sender holds.
 	HaveHash uint64 `msgpack:"a,omitempty"`
 	// Gone are sidecar incarnations that are gone.
-	Gone     []ident.Process `msgpack:"k,omitempty"`
-	Entries  []Peer          `msgpack:"l,omitempty"`
-	Dead     []ident.Process `msgpack:"d,omitempty"`
-	Given    []ShareTotal    `msgpack:"g,omitempty"`
-	Want     []ShareDemand   `msgpack:"m,omitempty"`
-	Draining bool            `msgpack:"r,omitempty"`
+	Gone    []ident.Process `msgpack:"k,omitempty"`
+	Entries []Peer          `msgpack:"l,omitempty"`
+	Dead    []ident.Process `msgpack:"d,omitempty"`
+	Given   []ShareTotal    `msgpack:"g,omitempty"`
+	Want    []ShareDemand   `msgpack:"m,omitempty"`
+	// Allocation is the sequence number of the limit allocation held.
+	Allocation uint64 `msgpack:"o,omitempty"`
+	// Flows are the final flows with incarnations in Dead.
+	Flows    []ShareFlow `msgpack:"f,omitempty"`
+	Draining bool        `msgpack:"r,omitempty"`
 }
 
 // PullRequest asks for the configuration document if it is newer than Have.
@@ -366,6 +385,11 @@
 	Document []byte `msgpack:"d,omitempty"`
 }
 
+// PullAllocationReply carries the limit allocation as JSON.
+type PullAllocationReply struct {
+	Allocation []byte `msgpack:"a,omitempty"`
+}
+
 // DrainRequest asks a process to drain, or to accept work again.
 type DrainRequest struct {
 	Drain bool `msgpack:"d"`
