--- a/internal/decision/dispatch/machine.go
+++ b/internal/decision/dispatch/machine.go
@@ -4,8 +4,8 @@
 	"math/rand"
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/estimate"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
-	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
@@ -14,92 +14,147 @@
 type Machine struct {
 	cfg Config
 	rnd *rand.Rand
+	now time.Duration // of the latest call
+
+	doc       *resource.Document
+	window    uint64
+	draining  bool
+	suspended bool
+	abandoned bool
+
+	jobs      map[string]*job
+	memory    memory
+	deadlines deadlines
+	classes   map[wire.Class]*class
+	stats     []*class // all classes ever used, for counters
+	unknown   counters // refusals of jobs without a class
+	estimates *estimate.Estimator
+
+	pools   map[string]*pool
+	dirty   []*pool
+	workers map[ident.Process]*worker
+	batched []*worker
+	ejected []*worker
+	fencing []*worker
+	tell    []*worker // may be told of demand
+	uses    uint64
+	limited bool // a class waits for its limits
+	sweep   time.Duration
+
+	demand      []wire.Demand
+	demandAt    time.Duration
+	demandStale bool
+
+	out   []Action
+	waste Waste
 }
 
-// New returns a Machine without a document and without workers.
-func New(cfg Config, rnd *rand.Rand) *Machine { return &Machine{cfg: cfg, rnd: rnd} }
-
-// SetDocument puts a validated configuration into force.
-func (m *Machine) SetDocument(now time.Duration, doc *resource.Document) {}
-
-// SetWindow sets the current submission window, which never decreases.
-func (m *Machine) SetWindow(now time.Duration, window uint64) {}
-
-// Submit admits or refuses a job, or joins it if the ID is known.
-func (m *Machine) Submit(now time.Duration, id string, req *jobapi.JobRequest) jobapi.JobAnswer {
-	return jobapi.JobAnswer{SubmissionID: id, State: jobapi.JobRefused, NotRun: true, Reason: jobapi.ReasonNoConfiguration}
+// New returns a Machine without a document and without workers. The random
+// source belongs to the Machine from then on.
+func New(cfg Config, rnd *rand.Rand) *Machine {
+	cfg.fill()
+	return &Machine{
+		cfg:       cfg,
+		rnd:       rnd,
+		jobs:      map[string]*job{},
+		memory:    newMemory(cfg.ResultBytes),
+		classes:   map[wire.Class]*class{},
+		estimates: estimate.New(),
+		pools:     map[string]*pool{},
+		workers:   map[ident.Process]*worker{},
+	}
 }
 
-// Answer returns the state or the answer of a submission.
-func (m *Machine) Answer(now time.Duration, id string) (jobapi.JobAnswer, bool) {
-	return jobapi.JobAnswer{}, false
-}
-
-// Cancel withdraws the unstarted tasks of a submission.
-func (m *Machine) Cancel(now time.Duration, id string) jobapi.JobAnswer { return jobapi.JobAnswer{} }
-
-// Attach adds a sidecar incarnation or updates its backend server.
-func (m *Machine) Attach(now time.Duration, w Worker) {}
-
-// Detach removes a sidecar incarnation that is gone.
-func (m *Machine) Detach(now time.Duration, sidecar ident.Process) {}
-
-// SetLeaving says whether the sidecar takes no new work.
-func (m *Machine) SetLeaving(now time.Duration, sidecar ident.Process, leaving bool) {}
-
-// SetLoad records the load that a sidecar reported; call it after Grant.
-func (m *Machine) SetLoad(now time.Duration, sidecar ident.Process, held, free, foreign int) {}
-
-// Grant adds credits.
-func (m *Machine) Grant(now time.Duration, sidecar ident.Process, grants []wire.Grant) {}
-
-// Recall takes up to count idle credits back.
-func (m *Machine) Recall(now time.Duration, sidecar ident.Process, count int) []wire.Credit {
-	return nil
+func (c *Config) fill() {
+	if c.AcceptWindows == 0 {
+		c.AcceptWindows = DefaultAcceptWindows
+	}
+	if c.RetainWindows == 0 {
+		c.RetainWindows = DefaultRetainWindows
+	}
+	if c.CreditTTL == 0 {
+		c.CreditTTL = DefaultCreditTTL
+	}
+	if c.ResultBytes == 0 {
+		c.ResultBytes = DefaultResultBytes
+	}
+	if c.QueueTasks == 0 {
+		c.QueueTasks = DefaultQueueTasks
+	}
 }
 
-// DispatchReply handles the reply to a Dispatch action.
-func (m *Machine) DispatchReply(now time.Duration, sidecar ident.Process, starts []wire.Start, codes []wire.RefuseCode) {
+// SetDocument puts a validated configuration into force. Jobs that wait keep
+// their class even if its kind or team is gone.
+func (m *Machine) SetDocument(now time.Duration, doc *resource.Document) {
+	m.now = now
+	m.doc = doc
+	for key, c := range m.classes {
+		if !m.configure(c) {
+			continue
+		}
+		if kind := doc.Kinds[key.Kind]; kind.Spec.Service != c.pool.service {
+			delete(m.classes, key) // the next job creates it for the new service
+		}
+	}
+	for _, p := range m.pools {
+		p.fleet.SetEjectPercent(m.ejectPercent())
+		m.touch(p)
+	}
 }
 
-// DispatchFailed handles a Dispatch action without reply; sent is false if it
-// was certainly not delivered.
-func (m *Machine) DispatchFailed(now time.Duration, sidecar ident.Process, starts []wire.Start, sent bool) {
+// SetWindow sets the current submission window, which never decreases, and
+// forgets what has become too old.
+func (m *Machine) SetWindow(now time.Duration, window uint64) {
+	m.now = now
+	if window <= m.window {
+		return
+	}
+	m.window = window
+	m.expire()
 }
 
-// FenceReply handles the reply to a Fence action.
-func (m *Machine) FenceReply(now time.Duration, sidecar ident.Process, starts []wire.FencedStart, reply wire.FenceReply) {
+// Suspend stops or resumes dispatching. Jobs are still admitted and answered.
+func (m *Machine) Suspend(now time.Duration, on bool) {
+	m.now = now
+	m.suspended = on
+	m.demandStale = true
+	m.touchAll()
 }
 
-// Results handles the ends of tasks.
-func (m *Machine) Results(now time.Duration, sidecar ident.Process, results []wire.TaskResult) {}
-
-// Suspend stops or resumes dispatching.
-func (m *Machine) Suspend(now time.Duration, on bool) {}
-
-// Abandon answers all jobs with what is known.
-func (m *Machine) Abandon(now time.Duration) {}
-
-// Drain makes the machine refuse new jobs.
-func (m *Machine) Drain(on bool) {}
+// Drain makes the machine refuse new jobs and return credits that it has no
+// work for.
+func (m *Machine) Drain(on bool) { m.draining = on }
 
 // Wake tries limited classes again after a share has grown.
-func (m *Machine) Wake(now time.Duration) {}
-
-// Tick handles deadlines, credit expiry, probes and repeated fences.
-func (m *Machine) Tick(now time.Duration) {}
-
-// Next returns when Tick is due; ok is false if nothing waits for time.
-func (m *Machine) Next() (at time.Duration, ok bool) { return 0, false }
-
-// Demand returns the demand summary.
-func (m *Machine) Demand(now time.Duration) []wire.Demand { return nil }
+func (m *Machine) Wake(now time.Duration) {
+	m.now = now
+	m.touchAll()
+}
 
-// Actions places waiting tasks and drains the queued actions.
-func (m *Machine) Actions() []Action { return nil }
+// Abandon answers all jobs with what is known: what was not dispatched has not
+// run, what is in flight may have run. The Machine dispatches nothing more.
+func (m *Machine) Abandon(now time.Duration) {
+	m.now = now
+	m.abandoned = true
+	for len(m.deadlines) > 0 {
+		j, why := m.deadlines[0], causeAbandoned
+		if j.inFlight+j.done == 0 {
+			why = causeStopped
+		}
+		m.end(j, why)
+	}
+}
 
-// Stats returns the counters of all classes.
-func (m *Machine) Stats() []ClassStats { return nil }
+// touch makes the next drain of the actions place the pool's waiting tasks.
+func (m *Machine) touch(p *pool) {
+	if !p.dirty {
+		p.dirty = true
+		m.dirty = append(m.dirty, p)
+	}
+}
 
-// Waste returns the counts of wasted messages.
-func (m *Machine) Waste() Waste { return Waste{} }
+func (m *Machine) touchAll() {
+	for _, p := range m.pools {
+		m.touch(p)
+	}
+}
--- /dev/null
+++ b/internal/decision/dispatch/place.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/health"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+const (
+	// maxBatch is the number of starts, and maxBatchBytes the bytes of their
+	// payloads, after which a Dispatch is split.
+	maxBatch      = 256
+	maxBatchBytes = 1 << 20
+)
+
+// Actions places waiting tasks and drains the queued actions, with at most one
+// Dispatch per sidecar unless it grew too large.
+func (m *Machine) Actions() []Action {
+	m.place()
+	m.flush()
+	m.fence()
+	m.tellDemand()
+	if m.draining {
+		m.returnIdle()
+	}
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// place starts waiting tasks on the credits of all pools that have changed.
+func (m *Machine) place() {
+	if m.suspended || m.abandoned {
+		return
+	}
+	for _, p := range m.dirty {
+		p.dirty = false
+		m.placeBound(p)
+		m.placePool(p)
+	}
+	m.dirty = m.dirty[:0]
+}
+
+// placeBound spends the credits that were granted for a class on that class.
+// One that can't be is a credit like any other.
+func (m *Machine) placeBound(p *pool) {
+	for _, b := range p.bound {
+		c, i := m.classes[b.class], b.worker.find(b.credit)
+		if c == nil || c.pool != p || i < 0 || b.worker.pos < 0 || b.worker.rank == health.RankProbe ||
+			c.queue.Waiting() == 0 || !m.canStart(c) {
+			continue
+		}
+		t := c.queue.Head().Value
+		if fits(t.size, b.worker.backend.Size) && !t.avoids(b.worker.proc) {
+			m.start(c, b.worker, i)
+		}
+	}
+	p.bound = p.bound[:0]
+}
+
+func (m *Machine) placePool(p *pool) {
+	for len(p.ready) > 0 {
+		p.queue.SetIdle(p.idle)
+		q := p.queue.Pick()
+		if q == nil {
+			break
+		}
+		t := q.Head().Value
+		c := t.job.class
+		if !m.canStart(c) {
+			m.limited = true
+			p.queue.Park(q)
+			continue
+		}
+		w := p.choose(t)
+		if w == nil {
+			p.queue.Park(q)
+			continue
+		}
+		m.start(c, w, len(w.credits)-1)
+	}
+	p.queue.SetIdle(p.idle)
+	p.queue.Unpark()
+}
+
+func (m *Machine) canStart(c *class) bool {
+	return m.cfg.Limiter == nil || m.cfg.Limiter.CanStart(m.now, c.key)
+}
+
+// start spends a credit of the worker on the class's first task.
+func (m *Machine) start(c *class, w *worker, credit int) {
+	_, next := c.pool.queue.Take(c.queue)
+	t := next.Value
+	t.state, t.worker, t.sent = dispatched, w, m.now
+	t.credit = w.credits[credit].number
+	t.probe = w.rank == health.RankProbe
+	if t.probe {
+		w.health.Probe()
+	}
+	t.pos = len(w.inflight)
+	w.inflight = append(w.inflight, t)
+	w.credits = append(w.credits[:credit], w.credits[credit+1:]...)
+	m.uses++
+	w.used = m.uses
+	m.refresh(w)
+
+	t.job.inFlight++
+	c.count.starts++
+	c.budget.Started(m.now)
+	m.queued(c, -1)
+	if m.cfg.Limiter != nil {
+		m.cfg.Limiter.Started(m.now, c.key)
+	}
+	if len(w.batch) == 0 {
+		m.batched = append(m.batched, w)
+	}
+	w.batch = append(w.batch, wire.Start{
+		Credit: t.credit, Task: t.key(), Class: c.key, Payload: t.body,
+		DeadlineMs: max(1, int64((t.job.deadline-m.now)/time.Millisecond)),
+	})
+}
+
+// flush queues a Dispatch per worker with new starts.
+func (m *Machine) flush() {
+	for _, w := range m.batched {
+		from, size := 0, 0
+		for i := range w.batch {
+			size += len(w.batch[i].Payload)
+			if i+1 < len(w.batch) && i+1-from < maxBatch && size+len(w.batch[i+1].Payload) <= maxBatchBytes {
+				continue
+			}
+			m.out = append(m.out, Dispatch{Sidecar: w.proc, Starts: w.batch[from : i+1 : i+1]})
+			from, size = i+1, 0
+		}
+		w.batch = nil
+	}
+	m.batched = m.batched[:0]
+}
