ctl: add the command-line tool cardamomctl

Cause: callers and operators need a tool for both HTTP APIs. Change: internal/ctl has a file per subcommand, documented exit codes, and submit asks again with the same submission ID after a lost connection. Example settings and resources for both current users, checked by tests. The first race run reported a race between a test's server and its assertions, which the lock in the test removes.

--- /dev/null
+++ b/internal/ctl/cancel.go
@@ -0,0 +1,35 @@
+package ctl
+
+import (
+	"net/url"
+
+	"github.com/urfave/cli/v2"
+	"github.com/valyala/fasthttp"
+)
+
+func (p *program) cancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "cancel",
+		Usage:       "cancel a job",
+		UsageText:   "cardamomctl cancel SUBMISSION-ID",
+		Description: "Tasks that have not started never start; running ones continue. Repeating it is harmless.",
+		Action:      p.cancel,
+	}
+}
+
+func (p *program) cancel(c *cli.Context) error {
+	if c.NArg() != 1 {
+		return usage("cancel needs SUBMISSION-ID")
+	}
+	id := c.Args().First()
+	cl := p.client()
+	res, err := cl.call(fasthttp.MethodDelete, cl.server, "/v1/jobs/"+url.PathEscape(id), nil)
+	if err != nil {
+		return lost(err, true)
+	}
+	answer, err := decodeAnswer("cancel of job "+id, res)
+	if err != nil {
+		return err
+	}
+	return p.printAnswer(answer)
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,225 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+)
+
+const prefix = "e1.ab.7."
+
+// handling orders the handlers' writes before the reads of a test after run.
+var handling sync.Mutex
+
+// serve starts a server on loopback and returns its address.
+func serve(t *testing.T, h fasthttp.RequestHandler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		handling.Lock()
+		defer handling.Unlock()
+		ctx.Response.Header.Set(jobapi.HeaderSubmissionPrefix, prefix)
+		h(ctx)
+	}}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return l.Addr().String()
+}
+
+func run(address, in string, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	all := append([]string{"cardamomctl", "--server", address, "--operator", address, "--timeout", "5s"}, args...)
+	code = Main(all, Streams{In: strings.NewReader(in), Out: &o, Err: &e})
+	handling.Lock()
+	defer handling.Unlock()
+	return code, o.String(), e.String()
+}
+
+func respond(ctx *fasthttp.RequestCtx, status int, v any) {
+	data, _ := json.Marshal(v)
+	ctx.SetStatusCode(status)
+	ctx.SetBody(data)
+}
+
+// Guards against a second ID or a duplicate submission after a lost
+// connection, which would run the job twice.
+func TestSubmitSurvivesLostConnection(t *testing.T) {
+	var paths, ids []string
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		paths = append(paths, string(ctx.Method())+" "+strings.TrimPrefix(string(ctx.Path()), "/v1/"))
+		switch {
+		case string(ctx.Path()) == "/v1/submissions":
+			return
+		case ctx.IsPost():
+			var req jobapi.JobRequest
+			_ = json.Unmarshal(ctx.PostBody(), &req)
+			ids = append(ids, req.SubmissionID)
+			if len(ids) == 1 {
+				ctx.HijackSetNoResponse(true)
+				ctx.Hijack(func(c net.Conn) { c.Close() })
+				return
+			}
+			respond(ctx, 200, jobapi.JobAnswer{SubmissionID: req.SubmissionID, State: jobapi.JobComplete,
+				Tasks: make([]jobapi.TaskAnswer, len(req.Tasks))})
+		default:
+			respond(ctx, 404, apiError{Error: "not known"})
+		}
+	})
+	code, out, errOut := run(address, "", "submit", "-o", "json", "--team", "a", "--kind", "b", "--tasks", "3")
+	if code != ExitOK || len(ids) != 2 || ids[0] != ids[1] || !strings.HasPrefix(ids[0], prefix) || len(ids[0]) == len(prefix) {
+		t.Fatalf("code %d, IDs %q, error output %s", code, ids, errOut)
+	}
+	if len(paths) != 4 || paths[1] != "POST jobs" || paths[2] != "GET jobs/"+ids[0] || paths[3] != "POST jobs" {
+		t.Errorf("requests %q", paths)
+	}
+	var a jobapi.JobAnswer
+	if err := json.Unmarshal([]byte(out), &a); err != nil || len(a.Tasks) != 3 {
+		t.Errorf("output %s: %v", out, err)
+	}
+}
+
+// Guards against exit codes that tell a caller the wrong thing about what ran.
+func TestExitCodes(t *testing.T) {
+	type answer = jobapi.JobAnswer
+	for name, c := range map[string]struct {
+		status int
+		answer any
+		args   []string
+		want   int
+	}{
+		"refused":         {429, answer{State: jobapi.JobRefused, NotRun: true, Reason: jobapi.ReasonQueueFull}, nil, ExitRefused},
+		"failed":          {200, answer{State: jobapi.JobFailed, Tasks: []jobapi.TaskAnswer{{State: jobapi.TaskFailed}}}, nil, ExitJobFailed},
+		"may have run":    {200, answer{State: jobapi.JobFailed, Tasks: []jobapi.TaskAnswer{{State: jobapi.TaskMayHaveRun}}}, nil, ExitUnknown},
+		"expired":         {410, answer{State: jobapi.JobFailed, Reason: jobapi.ReasonExpired}, nil, ExitUnknown},
+		"other payload":   {409, answer{State: jobapi.JobRefused, Reason: jobapi.ReasonConflict}, nil, ExitConflict},
+		"edit conflict":   {409, apiError{Error: "conflict", ResourceVersion: 4}, []string{"delete", "kinds", "x"}, ExitConflict},
+		"lowered limit":   {422, apiError{Error: "lowers"}, []string{"delete", "limits", "x"}, ExitRefused},
+		"store down":      {503, apiError{Reason: "unavailable"}, []string{"delete", "kinds", "x"}, ExitUnavailable},
+		"unknown edit":    {503, apiError{Reason: "unknown"}, []string{"delete", "kinds", "x"}, ExitUnknown},
+		"not found":       {404, apiError{Error: "none"}, []string{"get", "kinds", "x"}, ExitError},
+		"flag after name": {200, nil, []string{"get", "kinds", "-o", "json"}, ExitUsage},
+		"unknown type":    {200, nil, []string{"get", "colours"}, ExitUsage},
+		"unknown command": {200, nil, []string{"paint"}, ExitUsage},
+		"too many tasks":  {200, nil, []string{"submit", "--team", "a", "--kind", "b", "--tasks", "331"}, ExitUsage},
+	} {
+		address := serve(t, func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) != "/v1/submissions" {
+				respond(ctx, c.status, c.answer)
+			}
+		})
+		args := c.args
+		if args == nil {
+			args = []string{"submit", "--team", "a", "--kind", "b"}
+		}
+		if code, _, errOut := run(address, "", args...); code != c.want {
+			t.Errorf("%s: exit code %d, want %d; %s", name, code, c.want, errOut)
+		}
+	}
+}
+
+// Guards against a change whose response was lost being reported as not made.
+func TestLostChangeIsUnknown(t *testing.T) {
+	calls := 0
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		calls++
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { c.Close() })
+	})
+	if code, _, errOut := run(address, "", "delete", "kinds", "x"); code != ExitUnknown || calls != 1 {
+		t.Errorf("exit code %d after %d calls: %s", code, calls, errOut)
+	}
+}
+
+// Guards against an apply that sends part of a faulty file, ignores the wait
+// or loses the decrease flag.
+func TestApply(t *testing.T) {
+	var puts []string
+	gets := 0
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		var o object
+		if ctx.IsPut() {
+			puts = append(puts, string(ctx.RequestURI()))
+			_ = json.Unmarshal(ctx.PostBody(), &o)
+			o.Metadata.Generation = 2
+			respond(ctx, 200, o)
+			return
+		}
+		gets++
+		since := ""
+		if gets > 2 {
+			since = `"inForceSince":"2025-01-02T03:04:05Z",`
+		}
+		ctx.SetBodyString(`{"metadata":{"generation":2},"spec":{},"status":{` + since + `"observedGeneration":2,"processes":3,"inForce":3,"conditions":[]}}`)
+	})
+	good := `{"type":"kinds","metadata":{"name":"k"},"spec":{"service":"s","urgency":"high","runMs":1,"deadlineMs":2}}
+[{"type":"teams","metadata":{"name":"t"},"spec":{}}]`
+	if code, _, e := run(address, good, "apply", "--allow-decrease", "--wait", "-f", "-"); code != ExitOK || gets != 4 {
+		t.Errorf("exit code %d after %d reads: %s", code, gets, e)
+	}
+	if strings.Join(puts, " ") != "/v1/kinds/k?allowDecrease=true /v1/teams/t?allowDecrease=true" {
+		t.Errorf("changes sent: %q", puts)
+	}
+	puts = nil
+	for _, bad := range []string{
+		good + `{"type":"colours","metadata":{"name":"t"},"spec":{}}`,
+		good + `{"type":"teams","metadata":{"name":"u"},"spec":{"wieght":1}}`,
+		good + `{"type":"teams","metadata":{"name":"t"},"spec":{}}`,
+		good + `{"type":"teams"`, "",
+	} {
+		if code, _, _ := run(address, bad, "apply", "-f", "-"); code != ExitError || len(puts) != 0 {
+			t.Errorf("exit code %d, %d changes sent for %s", code, len(puts), bad)
+		}
+	}
+}
+
+// Guards against example resources that the tool itself refuses.
+func TestExampleResources(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/resources.json")
+	if err != nil || len(files) != 2 {
+		t.Fatalf("%d example files, %v", len(files), err)
+	}
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all, err := ParseEnvelopes(data)
+		if err != nil {
+			t.Errorf("%s: %v", f, err)
+		}
+		checkReferences(t, f, all)
+	}
+}
+
+// checkReferences reports kinds of unknown urgencies and limits of unknown
+// kinds and teams.
+func checkReferences(t *testing.T, file string, all []Envelope) {
+	t.Helper()
+	known := map[string]bool{}
+	for _, e := range all {
+		known[string(e.Type)+"/"+e.Metadata.Name] = true
+	}
+	for _, e := range all {
+		var spec struct{ Urgency, Kind, Team string }
+		if err := json.Unmarshal(e.Spec, &spec); err != nil {
+			t.Fatal(err)
+		}
+		for _, ref := range [][2]string{{"urgencies/", spec.Urgency}, {"kinds/", spec.Kind}, {"teams/", spec.Team}} {
+			if ref[1] != "" && !known[ref[0]+ref[1]] {
+				t.Errorf("%s: %s refers to unknown %s%s", file, e.Metadata.Name, ref[0], ref[1])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/get.go
@@ -0,0 +1,103 @@
+package ctl
+
+import (
+	"encoding/json"
+	"net/url"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+)
+
+// typeJobs is the pseudo-type of get that reads the answer of a job.
+const typeJobs = "jobs"
+
+func (p *program) getCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "get",
+		Usage:     "show resources, or the answer of a job",
+		UsageText: "cardamomctl get TYPE [NAME]\ncardamomctl get jobs SUBMISSION-ID",
+		Action:    p.get,
+	}
+}
+
+func (p *program) get(c *cli.Context) error {
+	args := c.Args()
+	if args.First() == typeJobs && c.NArg() == 2 {
+		return p.getJob(args.Get(1))
+	}
+	if c.NArg() < 1 || c.NArg() > 2 {
+		return usage("get needs TYPE [NAME]")
+	}
+	t, err := parseType(args.First())
+	if err != nil {
+		return err
+	}
+	cl := p.client()
+	if c.NArg() == 2 {
+		var o object
+		if err := cl.resource(fasthttp.MethodGet, resourcePath(t, args.Get(1)), nil, &o); err != nil {
+			return err
+		}
+		if p.output == outputJSON {
+			return p.printJSON(o)
+		}
+		return p.table(objectRows([]object{o}))
+	}
+	var l list
+	if err := cl.resource(fasthttp.MethodGet, "/v1/"+string(t), nil, &l); err != nil {
+		return err
+	}
+	if p.output == outputJSON {
+		return p.printJSON(l)
+	}
+	return p.table(objectRows(l.Items))
+}
+
+// getJob reads the answer of a job; the exit code says how the job fared.
+func (p *program) getJob(id string) error {
+	cl := p.client()
+	res, err := cl.call(fasthttp.MethodGet, cl.server, "/v1/jobs/"+url.PathEscape(id), nil)
+	if err != nil {
+		return lost(err, false)
+	}
+	answer, err := decodeAnswer("GET job "+id, res)
+	if err != nil {
+		return err
+	}
+	if err := p.printAnswer(answer); err != nil {
+		return err
+	}
+	return outcome(answer)
+}
+
+// parseType accepts the plural and the singular name of a resource type.
+func parseType(s string) (resource.Type, error) {
+	singular := map[string]resource.Type{
+		"kind": resource.TypeKind, "team": resource.TypeTeam, "urgency": resource.TypeUrgency,
+		"limit": resource.TypeLimit, "policy": resource.TypePolicy,
+	}
+	if t, ok := singular[s]; ok {
+		return t, nil
+	}
+	if _, ok := specs[resource.Type(s)]; ok {
+		return resource.Type(s), nil
+	}
+	return "", usage("type %q: want kinds, teams, urgencies, limits or policies", s)
+}
+
+// typeAndName parses the two arguments of a command.
+func typeAndName(c *cli.Context) (resource.Type, string, error) {
+	if c.NArg() != 2 {
+		return "", "", usage("%s needs TYPE NAME", c.Command.Name)
+	}
+	t, err := parseType(c.Args().First())
+	return t, c.Args().Get(1), err
+}
+
+// decode decodes a JSON body.
+func decode(step string, body []byte, into any) error {
+	return errors.Annotatef(json.Unmarshal(body, into), "decoding the response to %s", step)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -68,3 +68,17 @@
 		}
 	})
 }
+
+// Guards against example settings that the program refuses.
+func TestExamples(t *testing.T) {
+	for _, site := range []string{"torno-andino", "safari-deposit-ledger"} {
+		for _, role := range []string{"entry", "sidecar"} {
+			f, err := Load("../../examples/" + site + "/" + role + ".json")
+			if err != nil {
+				t.Error(err)
+			} else if (f.Entry == nil) == (f.Sidecar == nil) {
+				t.Errorf("%s: want exactly one of both roles in %s.json", site, role)
+			}
+		}
+	}
+}
