Add the sidecar: slots, runtime, and a sample backend server

Cause: entry instances need sidecars to place tasks on. Change: internal/decision/slots is the state machine of slots, credits, start ledger and fences. internal/sidecar runs it with one core goroutine, the net/rpc service Sidecar, links to entry instances, the local and operator HTTP ports, and calls of the backend server. internal/backend is a sample backend server.

--- /dev/null
+++ b/internal/decision/slots/choose.go
@@ -0,0 +1,212 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// shareSlack absorbs rounding errors in the comparison of shares.
+const shareSlack = 1e-9
+
+// class is the work of one kind for one team at this sidecar.
+type class struct {
+	name   wire.Class
+	weight float64
+	rank   int
+	cost   float64 // estimated run time of a task in milliseconds
+	finish float64 // virtual finish time of start-time fair queueing
+	// count is the number of running tasks and of credits granted on demand.
+	count int
+	// waiting is the number of tasks in the demand of all entry instances
+	// for which no credit has been granted yet.
+	waiting int
+	active  time.Duration // last time with demand or a running task
+}
+
+// demand is the waiting work of one class at one entry instance.
+type demand struct {
+	class    *class
+	reported int
+	left     int // reported less the credits granted since
+	oldest   time.Duration
+	at       time.Duration
+}
+
+// age estimates the age of the next task to be granted a credit, on the
+// assumption that the arrivals of the waiting tasks are evenly spaced.
+func (d *demand) age(now time.Duration) time.Duration {
+	return time.Duration(float64(d.oldest)*float64(d.left)/float64(d.reported)) + now - d.at
+}
+
+func (m *Machine) class(now time.Duration, name wire.Class) *class {
+	cl := m.classes[name]
+	if cl == nil {
+		cl = &class{name: name, weight: 1, cost: 1, active: now}
+		m.classes[name] = cl
+		m.list = append(m.list, cl)
+	}
+	return cl
+}
+
+func (m *Machine) forgetClasses(now time.Duration) {
+	m.list = slices.DeleteFunc(m.list, func(cl *class) bool {
+		if cl.count > 0 || cl.waiting > 0 || now-cl.active <= max(m.cfg.ClassMemory, m.cfg.CreditTTL) {
+			return false
+		}
+		delete(m.classes, cl.name)
+		return true
+	})
+}
+
+// Demand replaces the demand summary of an entry instance.
+func (m *Machine) Demand(now time.Duration, process ident.Process, summary []wire.Demand) {
+	e := m.entries[process]
+	if e == nil {
+		return
+	}
+	e.heard = now
+	m.setDemand(now, e, summary)
+	m.distribute(now)
+}
+
+func (m *Machine) setDemand(now time.Duration, e *entry, summary []wire.Demand) {
+	for i := range e.demand {
+		d := &e.demand[i]
+		d.class.waiting -= d.left
+		d.class.active = now
+	}
+	e.demand = e.demand[:0]
+	if m.Fenced(e.peer.Process) {
+		return
+	}
+	for _, s := range summary[:min(len(summary), wire.MaxDemand+1)] {
+		if s.Waiting <= 0 {
+			continue
+		}
+		cl := m.class(now, s.Class)
+		cl.rank = s.Rank
+		if s.Weight > 0 {
+			cl.weight = s.Weight
+		}
+		cl.cost = float64(max(s.RunMs, 1))
+		// The summary may have been made before the last grants arrived.
+		left := max(s.Waiting-e.granted(cl), 0)
+		cl.waiting += left
+		e.demand = append(e.demand, demand{class: cl, reported: s.Waiting, left: left,
+			oldest: time.Duration(max(s.OldestMs, 0)) * time.Millisecond, at: now})
+	}
+	for _, c := range e.credits {
+		if c.class != nil && !e.wants(c.class) {
+			m.unclass(now, c)
+		}
+	}
+}
+
+// granted counts the unspent credits granted on demand of a class.
+func (e *entry) granted(cl *class) int {
+	n := 0
+	for _, c := range e.credits {
+		if c.class == cl {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *entry) wants(cl *class) bool {
+	return slices.ContainsFunc(e.demand, func(d demand) bool { return d.class == cl })
+}
+
+// hungry reports whether the last summary showed any waiting task.
+func (e *entry) hungry() bool { return len(e.demand) > 0 }
+
+// start is the virtual start time of the class's next task.
+func (m *Machine) start(cl *class) float64 { return max(m.virtual, cl.finish) }
+
+func (m *Machine) charge(cl *class) {
+	cl.finish = m.start(cl) + cl.cost/cl.weight
+}
+
+// weights sums the weights of the classes that have, or had a moment ago,
+// demand or running tasks.
+func (m *Machine) weights(now time.Duration) float64 {
+	sum := 0.0
+	for _, cl := range m.list {
+		if cl.count > 0 || cl.waiting > 0 || now-cl.active <= m.cfg.ClassMemory {
+			sum += cl.weight
+		}
+	}
+	return sum
+}
+
+// within reports whether one more task keeps the class within its share. The
+// comparison is of whole slots: with a rank first order, a class that holds
+// all but a fraction of the slots would otherwise get every freed slot.
+func (m *Machine) within(cl *class, sum float64) bool {
+	return float64(cl.count+1) <= cl.weight/sum*float64(m.slots)+shareSlack
+}
+
+// choose returns the demand to serve next with one of avail slots, or nil.
+// Classes within their share go first, highest rank first. The others follow
+// in the order of start-time fair queueing, and leave the reserve free unless
+// they hold no slot.
+func (m *Machine) choose(now time.Duration, avail int) (*entry, *demand) {
+	if avail <= 0 {
+		return nil, nil
+	}
+	var (
+		best    *demand
+		holder  *entry
+		bestIn  bool
+		sum     = m.weights(now)
+		reserve = min(m.reserve, max(m.slots-1, 0))
+	)
+	for _, e := range m.order {
+		if !m.eligible(now, e) {
+			continue
+		}
+		for i := range e.demand {
+			d := &e.demand[i]
+			if d.left <= 0 {
+				continue
+			}
+			in := m.within(d.class, sum)
+			if !in && d.class.count > 0 && avail <= reserve {
+				continue
+			}
+			if best == nil || m.before(now, d, in, best, bestIn) {
+				best, holder, bestIn = d, e, in
+			}
+		}
+	}
+	return holder, best
+}
+
+func (m *Machine) before(now time.Duration, a *demand, aIn bool, b *demand, bIn bool) bool {
+	if a.class == b.class {
+		return a.age(now) > b.age(now)
+	}
+	if aIn != bIn {
+		return aIn
+	}
+	if aIn && a.class.rank != b.class.rank {
+		return a.class.rank > b.class.rank
+	}
+	if sa, sb := m.start(a.class), m.start(b.class); sa != sb {
+		return sa < sb
+	}
+	return a.class.rank > b.class.rank
+}
+
+// serve grants a credit on demand.
+func (m *Machine) serve(now time.Duration, e *entry, d *demand) {
+	m.virtual = m.start(d.class)
+	m.charge(d.class)
+	d.left--
+	d.class.waiting--
+	d.class.active = now
+	m.issue(now, e, d.class)
+}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,182 @@
+package sidecar_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/backend"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// TestDispatchResult guards against a task that doesn't reach the backend
+// server, a result that doesn't reach the owner, and a second start of a task.
+func TestDispatchResult(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	w := newWorld(t, nil, e)
+	sub := e.submission("a")
+	if code := w.dispatch(e, e.take(), sub, `{"echo":[1,"x"]}`); code != wire.Accepted {
+		t.Fatalf("first dispatch: code %d", code)
+	}
+	e.wait("result", func() bool { return len(e.results) == 1 })
+	r := e.results[0]
+	var a backend.Answer
+	if r.State != jobapi.TaskCompleted || r.Task.Submission != sub || json.Unmarshal(r.Body, &a) != nil || string(a.Echo) != `[1,"x"]` {
+		t.Fatalf("result %+v with body %s", r, r.Body)
+	}
+	if code := w.dispatch(e, e.take(), sub, `{}`); code != wire.RefusedDuplicate {
+		t.Fatalf("repeated task: code %d", code)
+	}
+	if code := w.dispatch(e, 12345, e.submission("b"), `{}`); code != wire.RefusedCredit {
+		t.Fatalf("unknown credit: code %d", code)
+	}
+	if started, _ := w.backend.Counts(); started != 1 {
+		t.Fatalf("%d starts, want 1", started)
+	}
+}
+
+// TestResultRepeated guards against a result that is lost with the
+// acknowledgement, and against one that is repeated after it.
+func TestResultRepeated(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	w := newWorld(t, nil, e)
+	e.update(func() { e.failResults = 2 })
+	w.dispatch(e, e.take(), e.submission("a"), `{"fail":true}`)
+	e.wait("third delivery", func() bool { return len(e.results) == 3 })
+	for _, r := range e.results {
+		if r.Task.Submission != e.submission("a") || r.State != jobapi.TaskFailed || !strings.Contains(r.Error, "status 500") {
+			t.Fatalf("result %+v", r)
+		}
+	}
+	w.dispatch(e, e.take(), e.submission("b"), `{}`)
+	e.wait("result of b", func() bool { return e.results[len(e.results)-1].Task.Submission == e.submission("b") })
+	if len(e.results) != 4 {
+		t.Fatalf("%d results delivered, want 4", len(e.results))
+	}
+}
+
+// TestLeave guards against starts after the backend server has left, and
+// against the entry instance not hearing of it.
+func TestLeave(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	w := newWorld(t, nil, e)
+	credit := e.take()
+	if err := w.backend.Leave(); err != nil {
+		t.Fatal(err)
+	}
+	if code := w.dispatch(e, credit, e.submission("a"), `{}`); code != wire.RefusedLeaving {
+		t.Fatalf("dispatch after leave: code %d", code)
+	}
+	e.wait("leaving beat", func() bool { return e.lastBeat.Leaving && e.lastBeat.Held == 0 })
+	if err := w.backend.Announce(); err != nil {
+		t.Fatal(err)
+	}
+	e.update(func() { e.grants = nil })
+	if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code != wire.Accepted {
+		t.Fatalf("dispatch after the return: code %d", code)
+	}
+}
+
+// TestDrain guards against a drain that cuts a running task, that starts new
+// ones, or that ends before the owner has the result.
+func TestDrain(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	running, release := make(chan struct{}), make(chan struct{})
+	w := newWorld(t, func(ev backend.Event) {
+		if !ev.End {
+			close(running)
+			<-release
+		}
+	}, e)
+	w.dispatch(e, e.take(), e.submission("a"), `{}`)
+	<-running
+	drained := make(chan error, 1)
+	go func() { drained <- w.sidecar.Drain(context.Background()) }()
+	e.wait("leaving beat", func() bool { return e.lastBeat.Leaving })
+	if code := w.dispatch(e, e.take(), e.submission("b"), `{}`); code == wire.Accepted {
+		t.Fatal("a start was accepted in a drain")
+	}
+	e.update(func() { e.failResults = 1 })
+	select {
+	case err := <-drained:
+		t.Fatalf("drained while a task runs: %v", err)
+	default:
+	}
+	close(release)
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+	<-w.ended
+	if len(e.results) != 2 || e.results[1].State != jobapi.TaskCompleted {
+		t.Fatalf("results %+v", e.results)
+	}
+}
+
+// TestNotRun guards against a task that provably did not run being reported
+// as anything else, and against the ledger refusing its next start.
+func TestNotRun(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	w := newWorld(t, nil, e)
+	w.backend.SetFaults(backend.Faults{NotRun: true})
+	w.dispatch(e, e.take(), e.submission("a"), `{}`)
+	e.wait("result", func() bool { return len(e.results) == 1 && e.results[0].State == jobapi.TaskNotRun })
+	w.backend.SetFaults(backend.Faults{})
+	// The acknowledgement arrives a moment after the result.
+	for n := 0; ; n++ {
+		if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code == wire.Accepted {
+			break
+		} else if code != wire.RefusedCredit || n > 1000 {
+			t.Fatalf("second start: code %d", code)
+		}
+	}
+	e.wait("second result", func() bool { return len(e.results) == 2 && e.results[1].State == jobapi.TaskCompleted })
+	w.backend.Kill()
+	w.dispatch(e, e.take(), e.submission("b"), `{}`)
+	e.wait("result of a dead backend server", func() bool { return len(e.results) == 3 })
+	if r := e.results[2]; r.State != jobapi.TaskNotRun {
+		t.Fatalf("result of a dead backend server: %+v", r)
+	}
+	e.wait("leaving beat", func() bool { return e.lastBeat.Leaving })
+}
+
+// TestBackendDies guards against a task in flight at the death of the backend
+// server being reported as not run.
+func TestBackendDies(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	running := make(chan struct{})
+	release := make(chan struct{})
+	defer close(release)
+	w := newWorld(t, func(ev backend.Event) {
+		if !ev.End {
+			close(running)
+			<-release
+		}
+	}, e)
+	w.dispatch(e, e.take(), e.submission("a"), `{}`)
+	<-running
+	w.backend.Kill()
+	e.wait("result", func() bool { return len(e.results) == 1 })
+	if r := e.results[0]; r.State != jobapi.TaskMayHaveRun {
+		t.Fatalf("result %+v", r)
+	}
+}
+
+// TestConfig guards against a document that is not pulled, that replaces a
+// newer one, or that is taken although it is invalid.
+func TestConfig(t *testing.T) {
+	e := newEntry(t, "entry-1")
+	w := newWorld(t, nil, e)
+	e.update(func() { e.document = wire.PullReply{Revision: 5, Document: []byte(`{"format":1,"revision":5}`)} })
+	e.wait("revision 5", func() bool { return e.lastBeat.Revisions.InForce == 5 })
+	e.update(func() { e.document = wire.PullReply{Revision: 6, Document: []byte(`{"format":99,"revision":6}`)} })
+	e.wait("rejection of 6", func() bool { return e.lastBeat.Revisions.Rejected == 6 })
+	var reply wire.PullReply
+	if err := w.client.Call(context.Background(), "Sidecar.PullConfig", &wire.PullRequest{Have: 4}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Revision != 5 || string(reply.Document) != `{"format":1,"revision":5}` {
+		t.Fatalf("served revision %d: %s", reply.Revision, reply.Document)
+	}
+}
