entry: test the whole path with real sidecars and backend servers

Cause: the parts were built apart. Change: the dispatch reply names a gone incarnation, credits can be returned with a dispatch, and tests run a job of 330 tasks, the same ID at two instances, and a dead owner.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -88,13 +88,15 @@
 // Configuration is the source of the dynamic configuration. It is safe for
 // concurrent use.
 type Configuration interface {
-	// Current returns the document in force, or nil before there is one.
-	Current() *resource.Document
+	// Document returns the document in force, or nil before there is one.
+	Document() *resource.Document
 	Revisions() wire.Revisions
 	// NoteKnown notes a revision that a peer has.
-	NoteKnown(revision uint64)
+	NoteKnown(revision uint64) (behind bool)
 	// Offer takes a document in JSON if it is valid and newer.
 	Offer(document []byte) error
+	// Pull returns the document if it is newer than the one of the request.
+	Pull(req wire.PullRequest) wire.PullReply
 }
 
 // Deps are the collaborators of an entry instance.
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -49,7 +49,7 @@
 	retired  map[ident.Process]*dispatch.Machine
 	waiters  map[string][]chan jobapi.JobAnswer
 	sidecars *membership.Table
-	links    map[ident.Process]*sidecar
+	links    map[ident.Process]*attached
 	entries  *membership.Table
 	peers    map[ident.Process]*peerState
 	losses   *membership.Grouper
@@ -81,7 +81,7 @@
 		rnd:     rand.New(rand.NewSource(int64(e.cfg.Seed))),
 		retired: map[ident.Process]*dispatch.Machine{},
 		waiters: map[string][]chan jobapi.JobAnswer{},
-		links:   map[ident.Process]*sidecar{},
+		links:   map[ident.Process]*attached{},
 		peers:   map[ident.Process]*peerState{},
 		gone:    map[ident.Process]time.Duration{},
 		missing: map[string]time.Duration{},
@@ -226,7 +226,7 @@
 		c.window.Store(w)
 		c.machine.SetWindow(now, w)
 	}
-	if doc := c.e.config.Current(); doc != nil && doc != c.document {
+	if doc := c.e.config.Document(); doc != nil && doc != c.document {
 		c.document = doc
 		c.ledger.SetDocument(doc)
 		c.machine.SetDocument(now, doc)
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomturn/cardamomturn/internal/backend"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/sidecar"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// fixedConfig is a configuration that never changes.
+type fixedConfig struct{ doc *resource.Document }
+
+func (f fixedConfig) Document() *resource.Document { return f.doc }
+func (f fixedConfig) Revisions() wire.Revisions {
+	return wire.Revisions{Known: f.doc.Revision, InForce: f.doc.Revision}
+}
+func (f fixedConfig) NoteKnown(uint64) bool                { return false }
+func (f fixedConfig) Offer([]byte) error                   { return nil }
+func (f fixedConfig) Pull(wire.PullRequest) wire.PullReply { return wire.PullReply{} }
+
+func testDocument() *resource.Document {
+	return &resource.Document{
+		Format: 1, Revision: 1,
+		Urgencies: map[string]*resource.Urgency{"normal": {Spec: resource.UrgencySpec{Weight: 2, Rank: 1}}},
+		Kinds:     map[string]*resource.Kind{"seat": {Spec: resource.KindSpec{Service: "booking", Urgency: "normal", RunMs: 20, DeadlineMs: 10000}}},
+		Teams:     map[string]*resource.Team{"studio": {}},
+	}
+}
+
+type site struct {
+	t        *testing.T
+	entries  []*Entry
+	sidecars []*sidecar.Sidecar
+	backends []*backend.Backend
+}
+
+func (s *site) addEntry(name string, peers ...string) *Entry {
+	s.t.Helper()
+	e, err := New(Config{
+		Instance: name, Zone: "z1", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
+		InternalAddress: "127.0.0.1:0", Peers: peers, BeatInterval: 50 * time.Millisecond, Window: time.Second,
+	}, Deps{Configuration: fixedConfig{testDocument()}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); e.Run(ctx) }()
+	s.t.Cleanup(func() { cancel(); <-done })
+	s.entries = append(s.entries, e)
+	return e
+}
+
+func (s *site) addWorker(name string, entries ...*Entry) {
+	s.t.Helper()
+	cfg := sidecar.Config{Instance: name, Zone: "z1", Rack: "r1", BeatInterval: 50 * time.Millisecond}
+	for _, e := range entries {
+		cfg.EntryAddresses = append(cfg.EntryAddresses, e.InternalAddr())
+	}
+	sc, err := sidecar.New(cfg, sidecar.Deps{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	b, err := backend.New(backend.Config{Name: name, Service: "booking", Zone: "z1", Rack: "r1", SidecarAddress: sc.LocalAddr()})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { sc.Run(ctx); done <- struct{}{} }()
+	go func() { b.Run(ctx); done <- struct{}{} }()
+	s.t.Cleanup(func() { cancel(); <-done; <-done })
+	s.sidecars, s.backends = append(s.sidecars, sc), append(s.backends, b)
+}
+
+func post(t *testing.T, e *Entry, id string, tasks, sleepMs int) (int, jobapi.JobAnswer) {
+	t.Helper()
+	req := jobapi.JobRequest{SubmissionID: id, Team: "studio", Kind: "seat"}
+	for i := range tasks {
+		req.Tasks = append(req.Tasks, jobapi.TaskRequest{Payload: json.RawMessage(fmt.Sprintf(`{"sleepMs":%d,"echo":"%d"}`, sleepMs, i))})
+	}
+	body, err := json.Marshal(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return do(t, fasthttp.MethodPost, "http://"+e.CallerAddr()+"/v1/jobs", body)
+}
+
+func do(t *testing.T, method, url string, body []byte) (int, jobapi.JobAnswer) {
+	t.Helper()
+	r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	r.SetRequestURI(url)
+	r.Header.SetMethod(method)
+	r.SetBody(body)
+	if err := fasthttp.DoTimeout(r, w, 30*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	var a jobapi.JobAnswer
+	if err := json.Unmarshal(w.Body(), &a); err != nil {
+		t.Fatalf("%s: %v", w.Body(), err)
+	}
+	return w.StatusCode(), a
+}
+
+// TestJob guards against a job that is not answered whole over the full path.
+func TestJob(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	s.addWorker("w2", a)
+	status, ans := post(t, a, "", 330, 1)
+	if status != 200 || ans.State != jobapi.JobComplete || len(ans.Tasks) != 330 {
+		t.Fatalf("%d %s %s %s, %d tasks", status, ans.State, ans.Reason, ans.Message, len(ans.Tasks))
+	}
+	for i, task := range ans.Tasks {
+		var r struct{ Echo string }
+		if err := json.Unmarshal(task.Result, &r); err != nil || r.Echo != fmt.Sprint(i) {
+			t.Fatalf("task %d: %s %s", i, task.State, task.Result)
+		}
+	}
+}
+
+// TestForwardAndJoin guards against a submission starting twice when it is
+// sent to two entry instances.
+func TestForwardAndJoin(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	b := s.addEntry("b", a.InternalAddr())
+	s.addWorker("w1", a, b)
+	awaitPeers(t, a, b)
+	id := a.prefix() + "x"
+	done := make(chan jobapi.JobAnswer, 2)
+	for _, e := range []*Entry{a, b} {
+		go func() { _, ans := post(t, e, id, 20, 20); done <- ans }()
+	}
+	for range 2 {
+		if ans := <-done; ans.State != jobapi.JobComplete || len(ans.Tasks) != 20 {
+			t.Fatalf("%+v", ans)
+		}
+	}
+	started, _ := s.backends[0].Counts()
+	if started != 20 {
+		t.Fatalf("%d starts of 20 tasks", started)
+	}
+	if status, _ := post(t, b, id, 19, 20); status != 409 {
+		t.Fatalf("another payload under the same ID: status %d", status)
+	}
+}
+
+// TestDeadOwner guards against a false answer about a submission whose owner
+// died: what the sidecars completed is found, nothing runs twice.
+func TestDeadOwner(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	b := s.addEntry("b", a.InternalAddr())
+	s.addWorker("w1", a, b)
+	awaitPeers(t, a, b)
+	time.Sleep(2100 * time.Millisecond) // a later window than that of the attach
+	id := a.prefix() + "x"
+	go func() {
+		r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		r.SetRequestURI("http://" + a.CallerAddr() + "/v1/jobs")
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString(fmt.Sprintf(`{"submissionID":%q,"team":"studio","kind":"seat","tasks":[{"payload":{"sleepMs":300}}]}`, id))
+		_ = fasthttp.Do(r, w)
+	}()
+	for started := int64(0); started == 0; started, _ = s.backends[0].Counts() {
+		time.Sleep(time.Millisecond)
+	}
+	a.Kill()
+	status, ans := post(t, b, id, 1, 300)
+	if status != 200 || ans.State != jobapi.JobFailed && ans.State != jobapi.JobComplete {
+		t.Fatalf("%d %+v", status, ans)
+	}
+	if ans.Tasks[0].State != jobapi.TaskCompleted {
+		t.Fatalf("the finished task was not found: %+v", ans)
+	}
+	_, gone := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id[:len(id)-1]+"other", nil)
+	if !gone.NotRun {
+		t.Fatalf("a submission that never arrived: %+v", gone)
+	}
+	if started, _ := s.backends[0].Counts(); started != 1 {
+		t.Fatalf("%d starts", started)
+	}
+}
+
+func awaitPeers(t *testing.T, entries ...*Entry) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		ok := true
+		for _, e := range entries {
+			st := e.Stats()
+			ok = ok && st.Peers == len(entries)-1 && st.Sidecars > 0
+		}
+		if ok {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the processes don't find each other")
+		}
+	}
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -38,7 +38,7 @@
 	r.GET("/healthz", e.handleHealth)
 	r.NotFound = notFound
 	h := r.Handler
-	h = ready.New(h, ready.Config{Ready: func() bool { return e.config.Current() != nil }})
+	h = ready.New(h, ready.Config{Ready: func() bool { return e.config.Document() != nil }})
 	h = prefix.New(h, prefix.Config{Prefix: e.prefix})
 	h = inflight.New(h, inflight.Config{Count: &e.inFlight, Max: maxInFlight})
 	return panics.New(h, panics.Config{Report: e.reportPanic})
@@ -178,7 +178,7 @@
 	switch {
 	case e.core.draining.Load():
 		httperr.Write(ctx, fasthttp.StatusServiceUnavailable, httperr.Body{Error: "draining"})
-	case e.config.Current() == nil:
+	case e.config.Document() == nil:
 		httperr.Write(ctx, fasthttp.StatusServiceUnavailable, httperr.Body{Error: "no configuration yet"})
 	default:
 		ctx.SetStatusCode(fasthttp.StatusOK)
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -64,17 +63,3 @@
 		}
 	})
 }
-
-// fillPull answers a request for the document.
-func (e *Entry) fillPull(req *wire.PullRequest, reply *wire.PullReply) error {
-	doc := e.config.Current()
-	if doc == nil || doc.Revision <= req.Have {
-		return nil
-	}
-	b, err := json.Marshal(doc)
-	if err != nil {
-		return errors.Annotate(err, "encode the configuration")
-	}
-	reply.Revision, reply.Document = doc.Revision, b
-	return nil
-}
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -64,7 +64,7 @@
 		return q
 	}
 	q.Tasks = len(job.Tasks)
-	if doc := e.config.Current(); doc != nil && doc.Kinds[job.Kind] != nil {
+	if doc := e.config.Document(); doc != nil && doc.Kinds[job.Kind] != nil {
 		q.Idempotent = doc.Kinds[job.Kind].Spec.Idempotent
 	}
 	return q
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -117,7 +117,8 @@
 
 // PullConfig returns the configuration document if it is newer.
 func (s service) PullConfig(req *wire.PullRequest, reply *wire.PullReply) error {
-	return s.e.fillPull(req, reply)
+	*reply = s.e.config.Pull(*req)
+	return nil
 }
 
 // PullAllocation returns the limit allocation.
--- a/internal/entry/sidecars.go
+++ b/internal/entry/sidecars.go
@@ -16,8 +16,8 @@
 // sentRing is the number of beat replies whose send times are remembered.
 const sentRing = 16
 
-// sidecar is what the core knows of an attached sidecar incarnation.
-type sidecar struct {
+// attached is what the core knows of an attached sidecar incarnation.
+type attached struct {
 	peer    wire.Peer
 	backend *wire.Backend
 	link    *link
@@ -47,7 +47,7 @@
 		if s != nil {
 			s.link.close()
 		}
-		s = &sidecar{peer: req.Sidecar, link: newLink(c, req.Sidecar), acked: now}
+		s = &attached{peer: req.Sidecar, link: newLink(c, req.Sidecar), acked: now}
 		c.links[p] = s
 		c.e.log(event.SidecarAttached, "sidecar", p.String(), "address", req.Sidecar.Address)
 	}
@@ -108,14 +108,14 @@
 }
 
 // alive notes that the sidecar acknowledged a message sent at sentAt.
-func (c *core) alive(now time.Duration, s *sidecar, sentAt time.Duration) {
+func (c *core) alive(now time.Duration, s *attached, sentAt time.Duration) {
 	s.acked = max(s.acked, sentAt)
 	c.sidecars.Seen(now, s.peer, rackOf(s.backend), 0)
 }
 
 // callFailed notes a failed call; err is nil if another incarnation answered.
 // A refused connection also means that the process has ended.
-func (c *core) callFailed(now time.Duration, s *sidecar, err error) {
+func (c *core) callFailed(now time.Duration, s *attached, err error) {
 	if err != nil {
 		c.e.log(event.RPCLost, "err", err)
 	}
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -89,8 +89,10 @@
 		reply.Codes[i] = s.start(now, req, start)
 	}
 	if req.Sidecar != s.self.Process {
+		reply.Gone = true
 		return
 	}
+	s.m.Returned(now, req.Entry, req.Returned)
 	s.m.Demand(now, req.Entry, req.Demand)
 	reply.Grants = s.m.Grants(now, req.Entry)
 }
