--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -93,6 +93,7 @@
 	// declared dead earlier only when that is needed and safe.
 	bounds.DeadAfter = max(e.cfg.ReclaimAfter, e.cfg.GoneAfter)
 	c.entries = membership.New(bounds)
+	c.document = e.config.Document()
 	c.begin(0)
 	return c
 }
