--- a/internal/decision/revision/merge.go
+++ b/internal/decision/revision/merge.go
@@ -1,6 +1,8 @@
 package revision
 
 import (
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"reflect"
 	"slices"
@@ -63,7 +65,10 @@
 	return out
 }
 
-// changes returns the stored side's own changes under the new revision.
+// changes returns the stored side's own changes under the new revision. The
+// last change of a document has to identify all of it, so the merge adds one
+// of its own; else a later state of the stored side alone would pass for a
+// descendant of the merged document.
 func (g *merger) changes(stored *resource.Document) []resource.Change {
 	var out []resource.Change
 	for _, c := range stored.Changes {
@@ -71,7 +76,19 @@
 			out = append(out, resource.Change{ID: c.ID, Revision: g.newRevision})
 		}
 	}
-	return out
+	return append(out, resource.Change{ID: mergeID(g.next, stored), Revision: g.newRevision})
+}
+
+// mergeID derives a change ID from the last changes of both sides, so that
+// processes that merge the same documents get the same result.
+func mergeID(held, stored *resource.Document) string {
+	h := fnv.New64a()
+	for _, d := range []*resource.Document{held, stored} {
+		if n := len(d.Changes); n > 0 {
+			fmt.Fprintf(h, "%s/", d.Changes[n-1].ID)
+		}
+	}
+	return fmt.Sprintf("merge-%d-%016x", held.Revision, h.Sum64())
 }
 
 // mergeType merges the objects of one type into next.
