--- a/internal/decision/slots/distribute.go
+++ b/internal/decision/slots/distribute.go
@@ -112,7 +112,7 @@
 }
 
 func (m *Machine) recall(now time.Duration, e *entry, count int) {
-	if e.recalling && now-e.recallAt < m.cfg.CreditTTL || now-e.recallAt < m.cfg.RecallEvery {
+	if e.recalling && now-e.recallAt < m.cfg.CreditTTL || now-e.recallAt < e.recallWait {
 		return
 	}
 	e.recalling = true
--- a/internal/decision/slots/fair_test.go
+++ b/internal/decision/slots/fair_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// TestRankFirst guards against classes below their share being served in any
+// other order than that of their ranks.
+func TestRankFirst(t *testing.T) {
+	m := New(Config{}, rand.New(rand.NewSource(1)))
+	m.Attach(0, entryPeer(0), 1, 1)
+	high, low := demandOf("high", 1, 3, 1000), demandOf("low", 1, 0, 10)
+	high.Waiting, low.Waiting = 9, 9
+	m.Demand(0, entryPeer(0).Process, []wire.Demand{low, high})
+	m.SetBackend(0, &wire.Backend{Slots: 8})
+	for i, g := range m.Grants(0, entryPeer(0).Process) {
+		if (g.Class == high.Class) != (i < 4) {
+			t.Fatalf("grant %d is for %s, each has a share of 4", i, g.Class.Kind)
+		}
+	}
+	if held, _, _ := m.Load(entryPeer(0).Process); held != 8 {
+		t.Fatalf("%d credits granted, want 8", held)
+	}
+}
+
 // TestSameClass guards against a flood of a class at one entry instance that
 // starves older tasks of the same class at another.
 func TestSameClass(t *testing.T) {
--- a/internal/decision/slots/machine.go
+++ b/internal/decision/slots/machine.go
@@ -23,6 +23,13 @@
 	DefaultRecallEvery = 20 * time.Millisecond
 )
 
+const (
+	// recallGrowth is the growth of the time between recalls that return
+	// nothing, and maxRecallWait its bound.
+	recallGrowth  = 4
+	maxRecallWait = time.Second
+)
+
 // Config tunes a Machine. Zero values select the defaults.
 type Config struct {
 	// Self is the sidecar incarnation, reported by Ledger.
@@ -42,7 +49,7 @@
 	// counts in the shares, so that the reserve outlives short gaps.
 	ClassMemory time.Duration
 	// RecallEvery is the shortest time between two recalls from one entry
-	// instance.
+	// instance; it grows while recalls return nothing.
 	RecallEvery time.Duration
 }
 
@@ -58,6 +65,7 @@
 	demand     []demand
 	recalling  bool
 	recallAt   time.Duration
+	recallWait time.Duration // to the next recall
 	// tie orders entry instances of equal rank, so that the sidecars of a
 	// fleet don't all prefer the same one.
 	tie float64
@@ -153,13 +161,12 @@
 	e := m.entries[peer.Process]
 	if e == nil {
 		e = &entry{peer: peer, prefix: peer.Process.String() + ".", attachedAt: now,
-			recallAt: now - m.cfg.RecallEvery, tie: m.rnd.Float64()}
+			heard: now, recallAt: now - m.cfg.RecallEvery, recallWait: m.cfg.RecallEvery, tie: m.rnd.Float64()}
 		m.entries[peer.Process] = e
 		m.order = append(m.order, e)
 		m.sortEntries()
 	}
 	e.peer = peer
-	e.heard = now
 	if f := m.first[peer.Process]; f != nil {
 		f.seen = now
 	} else {
@@ -218,6 +225,11 @@
 		return
 	}
 	e.heard = now
+	if e.recalling && len(credits) == 0 {
+		e.recallWait = min(e.recallWait*recallGrowth, maxRecallWait)
+	} else {
+		e.recallWait = m.cfg.RecallEvery
+	}
 	e.recalling = false
 	for _, id := range credits {
 		if c := m.credits[id]; c != nil && c.entry == e {
--- a/internal/sidecar/entries.go
+++ b/internal/sidecar/entries.go
@@ -10,6 +10,10 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
+// reconcileEvery is the time between checks of the links against the list of
+// live entry instances, besides those at each change.
+const reconcileEvery = time.Second
+
 // seed opens links to all addresses of the settings that have none.
 func (s *Sidecar) seed() {
 	for _, addr := range s.cfg.EntryAddresses {
@@ -92,6 +96,7 @@
 // reconcile opens links to the desired entry instances and marks the others
 // as unwanted.
 func (s *Sidecar) reconcile(now time.Duration) {
+	s.reconciledAt = now
 	s.rename()
 	known := s.known()
 	want := desired(s.self.Process.Instance, s.cfg.Zone, known, s.cfg.Attachments)
@@ -99,10 +104,13 @@
 		s.open(p.Address)
 	}
 	for _, l := range s.links {
+		l.unwanted = !slices.ContainsFunc(want, func(p wire.Peer) bool { return p.Address == l.addr })
 		if !l.attached {
+			// Addresses of the settings are tried until they answer once.
+			seed := l.peer.Process.IsZero() && slices.Contains(s.cfg.EntryAddresses, l.addr)
+			l.unwanted = l.unwanted && !seed && len(known) > 0
 			continue
 		}
-		l.unwanted = !slices.ContainsFunc(want, func(p wire.Peer) bool { return p.Address == l.addr })
 		switch {
 		case !l.unwanted:
 			l.granting = true
@@ -149,8 +157,7 @@
 func (s *Sidecar) tickLinks(now time.Duration) {
 	attached := 0
 	for _, l := range slices.Clone(s.links) {
-		silent := now-l.lastHeard > s.cfg.SilentAfter
-		if l.attached && silent {
+		if l.attached && now-l.lastHeard > s.cfg.SilentAfter {
 			s.deps.Log("entry-silent", "no answer of %s at %s for %v", l.peer.Process, l.addr, now-l.lastHeard)
 			s.forget(now, l)
 			s.reconcile(now)
@@ -158,24 +165,23 @@
 		if l.attached {
 			attached++
 		}
-		if s.disposable(now, l) {
+		if s.disposable(l) {
 			s.close(l)
 		}
 	}
 	if attached == 0 {
 		s.seed()
 	}
+	if now-s.reconciledAt >= reconcileEvery {
+		s.reconcile(now)
+	}
 }
 
 // disposable reports whether a link has no use: it is unwanted and nothing is
-// owed to its owner, or it was learned from a list and is long silent.
-func (s *Sidecar) disposable(now time.Duration, l *link) bool {
-	if l.attaching || l.beating || l.sending || l.beat {
+// owed to its owner.
+func (s *Sidecar) disposable(l *link) bool {
+	if !l.unwanted || l.attaching || l.beating || l.sending || l.attached && l.beat {
 		return false
 	}
-	if !l.attached {
-		return !slices.Contains(s.cfg.EntryAddresses, l.addr) && now-l.lastHeard > s.cfg.ResultWait && l.failures > 0 ||
-			l.unwanted && s.outboxes[l.peer.Process] == nil
-	}
-	return l.unwanted && s.outboxes[l.peer.Process] == nil && !s.m.Owns(l.peer.Process)
+	return s.outboxes[l.peer.Process] == nil && !s.m.Owns(l.peer.Process)
 }
--- /dev/null
+++ b/internal/sidecar/entries_test.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// TestDesired guards against a choice that misses the own zone, that puts all
+// sidecars on few entry instances, or that moves sidecars whose entry
+// instances have not failed.
+func TestDesired(t *testing.T) {
+	var peers []wire.Peer
+	for i := range 9 {
+		n := strconv.Itoa(i)
+		peers = append(peers, wire.Peer{Process: ident.Process{Instance: "entry-" + n}, Address: n, Zone: strconv.Itoa(i % 3)})
+	}
+	load := map[string]int{}
+	for i := range 900 {
+		name, zone := "sidecar-"+strconv.Itoa(i), strconv.Itoa(i%3)
+		got := desired(name, zone, peers, 3)
+		zones := map[string]bool{}
+		for _, p := range got {
+			zones[p.Zone] = true
+			load[p.Address]++
+		}
+		if len(got) != 3 || len(zones) != 3 {
+			t.Fatalf("%s of zone %s attaches to %v", name, zone, got)
+		}
+		after := desired(name, zone, peers[1:], 3)
+		for _, p := range got {
+			if p.Address != "0" && !slices.Contains(after, p) {
+				t.Fatalf("%s leaves %s although only entry-0 failed", name, p.Address)
+			}
+		}
+	}
+	for addr, n := range load {
+		if n < 200 || n > 400 {
+			t.Fatalf("entry instance %s has %d sidecars, mean 300", addr, n)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -52,9 +52,11 @@
 	stats  Stats
 
 	// The fields below belong to the core goroutine.
-	m        *slots.Machine
-	links    []*link
-	outboxes map[ident.Process]*outbox
+	m     *slots.Machine
+	links []*link
+	// reconciledAt is the time of the last check of the links.
+	reconciledAt time.Duration
+	outboxes     map[ident.Process]*outbox
 	// unacked holds the tasks whose result "not run" has not been
 	// acknowledged. They must not start here again before that, because the
 	// owner could take the repeated result for that of the second start.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -70,10 +70,10 @@
 		t.Fatalf("dispatch after leave: code %d", code)
 	}
 	e.wait("leaving beat", func() bool { return e.lastBeat.Leaving && e.lastBeat.Held == 0 })
+	e.update(func() { e.grants = nil })
 	if err := w.backend.Announce(); err != nil {
 		t.Fatal(err)
 	}
-	e.update(func() { e.grants = nil })
 	if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code != wire.Accepted {
 		t.Fatalf("dispatch after the return: code %d", code)
 	}
