--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -49,17 +49,17 @@
 	cl := p.client()
 	applied := make([]Envelope, 0, len(all))
 	for _, e := range all {
-		o, err := cl.put(e, c.Bool("allow-decrease"))
+		done, err := cl.Apply(e, c.Bool("allow-decrease"))
 		if err != nil {
 			return p.reportPartial(applied, all, err)
 		}
-		applied = append(applied, Envelope{Type: e.Type, Metadata: o.Metadata, Spec: o.Spec})
+		applied = append(applied, done)
 		if p.output == outputTable {
-			fmt.Fprintf(p.Out, "%s/%s applied, generation %d, version %d\n", e.Type, e.Metadata.Name, o.Metadata.Generation, o.Metadata.ResourceVersion)
+			fmt.Fprintf(p.Out, "%s/%s applied, generation %d, version %d\n", done.Type, done.Metadata.Name, done.Metadata.Generation, done.Metadata.ResourceVersion)
 		}
 	}
 	if c.Bool("wait") {
-		if err := p.waitInForce(cl, applied); err != nil {
+		if err := cl.WaitInForce(applied); err != nil {
 			return err
 		}
 	}
@@ -78,23 +78,24 @@
 	return errors.Annotatef(err, "applying %s/%s", failed.Type, failed.Metadata.Name)
 }
 
-func (c *client) put(e Envelope, allowDecrease bool) (object, error) {
+// Apply creates or changes one resource and returns it as accepted.
+func (c *Client) Apply(e Envelope, allowDecrease bool) (Envelope, error) {
 	path := resourcePath(e.Type, e.Metadata.Name)
 	if allowDecrease {
 		path += "?allowDecrease=true"
 	}
 	var o object
 	err := c.resource(fasthttp.MethodPut, path, object{Metadata: e.Metadata, Spec: e.Spec}, &o)
-	return o, err
+	return Envelope{Type: e.Type, Metadata: o.Metadata, Spec: o.Spec}, err
 }
 
 func resourcePath(t resource.Type, name string) string {
 	return "/v1/" + string(t) + "/" + url.PathEscape(name)
 }
 
-// waitInForce waits until the applied generations, or newer ones, are in force
+// WaitInForce waits until the applied generations, or newer ones, are in force
 // on all live processes.
-func (p *program) waitInForce(c *client, applied []Envelope) error {
+func (c *Client) WaitInForce(applied []Envelope) error {
 	for _, e := range applied {
 		for {
 			var o object
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -15,16 +15,20 @@
 // maxResponse is the largest response body in bytes.
 const maxResponse = 256 << 20
 
-// client calls both APIs within one deadline.
-type client struct {
+// Client calls both APIs within one deadline. It is used by one goroutine.
+type Client struct {
 	http     *fasthttp.Client
 	server   string
 	operator string
 	deadline time.Time
 }
 
-func (p *program) client() *client {
-	return &client{
+func (p *program) client() *Client { return NewClient(p.server, p.operator, p.timeout) }
+
+// NewClient returns a client of a caller API and an operator API, given by
+// "ip:port" or URL, whose calls together take at most timeout.
+func NewClient(server, operator string, timeout time.Duration) *Client {
+	return &Client{
 		http: &fasthttp.Client{
 			Name:                "cardamomctl",
 			MaxResponseBodySize: maxResponse,
@@ -32,9 +36,9 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
-		server:   baseURL(p.server),
-		operator: baseURL(p.operator),
-		deadline: time.Now().Add(p.timeout),
+		server:   baseURL(server),
+		operator: baseURL(operator),
+		deadline: time.Now().Add(timeout),
 	}
 }
 
@@ -68,11 +72,11 @@
 
 // call sends one request with an optional JSON body. The error is a *lostError
 // if no response arrived.
-func (c *client) call(method, base, path string, body any) (*response, error) {
+func (c *Client) call(method, base, path string, body any) (*response, error) {
 	return c.callUntil(method, base, path, body, c.deadline)
 }
 
-func (c *client) callUntil(method, base, path string, body any, until time.Time) (*response, error) {
+func (c *Client) callUntil(method, base, path string, body any, until time.Time) (*response, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
@@ -117,7 +121,7 @@
 // resource calls the Resource API and decodes a 2xx body into out. Other
 // statuses become errors with their exit codes. A lost response to a change
 // is an unknown outcome.
-func (c *client) resource(method, path string, body, out any) error {
+func (c *Client) resource(method, path string, body, out any) error {
 	res, err := c.call(method, c.operator, path, body)
 	if err != nil {
 		return lost(err, method != fasthttp.MethodGet)
--- a/internal/ctl/submission.go
+++ b/internal/ctl/submission.go
@@ -20,9 +20,9 @@
 	progressInterval = 100 * time.Millisecond
 )
 
-// newID fetches a submission prefix and appends a random suffix. Repeating the
+// NewID fetches a submission prefix and appends a random suffix. Repeating the
 // fetch is harmless, because a prefix reserves nothing.
-func (c *client) newID() (string, error) {
+func (c *Client) NewID() (string, error) {
 	for attempt := 0; ; attempt++ {
 		res, err := c.call(fasthttp.MethodPost, c.server, "/v1/submissions", nil)
 		if err == nil && res.Status/100 != 2 {
@@ -41,7 +41,7 @@
 }
 
 // pause sleeps before the next attempt; false means that the deadline is near.
-func (c *client) pause(attempt int) bool {
+func (c *Client) pause(attempt int) bool {
 	ceiling := min(retryMax, retryFirst<<min(attempt, 10))
 	delay := time.Duration(rand.Int64N(int64(ceiling))) + time.Millisecond
 	if time.Until(c.deadline) <= delay {
@@ -51,9 +51,15 @@
 	return true
 }
 
+// Submit submits a job that has an ID and returns its final answer. If progress
+// is set, it is told the number of final tasks while the job runs.
+func (c *Client) Submit(req *jobapi.JobRequest, progress func(done int)) (*jobapi.JobAnswer, error) {
+	return (&submission{client: c, req: req, progress: progress}).run()
+}
+
 // submission carries one job to its answer through lost connections.
 type submission struct {
-	client *client
+	client *Client
 	req    *jobapi.JobRequest
 	// progress, if set, is told the number of final tasks.
 	progress func(done int)
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -43,17 +43,17 @@
 	}
 	cl := p.client()
 	if req.SubmissionID == "" {
-		if req.SubmissionID, err = cl.newID(); err != nil {
+		if req.SubmissionID, err = cl.NewID(); err != nil {
 			return err
 		}
 	}
 	fmt.Fprintf(p.Err, "submission %s\n", req.SubmissionID)
-	run := &submission{client: cl, req: req}
+	var progress func(int)
 	if bar := p.progress(len(req.Tasks)); bar != nil {
-		run.progress = func(done int) { _ = bar.Set(done) }
+		progress = func(done int) { _ = bar.Set(done) }
 		defer func() { _ = bar.Finish() }()
 	}
-	answer, err := run.run()
+	answer, err := cl.Submit(req, progress)
 	if err != nil {
 		return err
 	}
