daemon: add cardamomturnd with its subcommands and scripts for both programs

Cause: the roles need a program with settings, signals and logging. Change: internal/daemon has a file per subcommand, a dig container per role and a bounded graceful shutdown. The script of check-config showed follow-up faults for a section that is no object; settings now report only that. Events report the caller's file and line.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,132 @@
+// Package daemon is the program cardamomturnd: one file per subcommand.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/settings"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK    = 0
+	ExitError = 1
+	ExitUsage = 2
+)
+
+// errUsage marks errors of the command line.
+const errUsage = errors.ConstError("usage")
+
+// Streams are the standard streams of a run.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Main runs the program and returns its exit code. args includes the program's
+// name.
+func Main(args []string, s Streams) int {
+	defer klog.Flush()
+	err := newApp(s).Run(args)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(s.Err, "cardamomturnd: %v\nRun 'cardamomturnd help' for the usage.\n", err)
+		return ExitUsage
+	}
+	fmt.Fprintf(s.Err, "cardamomturnd: %v\n", err)
+	return ExitError
+}
+
+func usage(format string, args ...any) error {
+	return errors.WithType(errors.Errorf(format, args...), errUsage)
+}
+
+func newApp(s Streams) *cli.App {
+	a := &cli.App{
+		Name:           "cardamomturnd",
+		Usage:          "dispatch sub-second tasks to backend servers",
+		Description:    "Exit codes: 0 ok, 1 error or faulty settings, 2 usage.",
+		HideVersion:    true,
+		Flags:          klogFlags(),
+		Writer:         s.Out,
+		ErrWriter:      s.Err,
+		ExitErrHandler: func(*cli.Context, error) {},
+		OnUsageError:   onUsageError,
+		Commands: []*cli.Command{
+			entryCommand(s), sidecarCommand(s), standaloneCommand(s), checkConfigCommand(s),
+		},
+		Action: func(c *cli.Context) error {
+			if c.NArg() > 0 {
+				return usage("unknown command %q", c.Args().First())
+			}
+			return usage("a command is missing")
+		},
+	}
+	for _, cmd := range a.Commands {
+		cmd.OnUsageError = onUsageError
+	}
+	return a
+}
+
+func onUsageError(_ *cli.Context, err error, _ bool) error { return usage("%v", err) }
+
+// klogFlags returns klog's flags as flags of the program.
+func klogFlags() []cli.Flag {
+	set := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(set)
+	var flags []cli.Flag
+	set.VisitAll(func(f *flag.Flag) {
+		flags = append(flags, &cli.GenericFlag{Name: f.Name, Usage: f.Usage, Value: f.Value, Category: "Logging"})
+	})
+	return flags
+}
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "settings `FILE`"}
+}
+
+// load reads the settings file that the command names.
+func load(c *cli.Context) (*settings.File, error) {
+	if c.NArg() > 0 {
+		return nil, usage("%s takes no arguments", c.Command.Name)
+	}
+	path := c.String("config")
+	if path == "" {
+		return nil, usage("%s needs --config FILE", c.Command.Name)
+	}
+	f, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	event.Log(c.Context, event.ProgramSettings, "path", path)
+	return f, nil
+}
+
+// signals returns the channel of the signals that end a role, and a function
+// that ends the delivery.
+func signals() (<-chan os.Signal, func()) {
+	// Two places: the first begins a graceful shutdown, the second ends it.
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, syscall.SIGINT, syscall.SIGTERM)
+	return ch, func() { signal.Stop(ch) }
+}
+
+// serve runs a role until it ends or a signal arrives.
+func serve(ctx context.Context, r Runner, t settings.Timing) error {
+	ch, stop := signals()
+	defer stop()
+	return supervise(ctx, r, t.ShutdownTimeout.Std(), ch)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,11 +44,16 @@
 // Log writes one event with its key-value pairs to the logger of ctx, or to
 // klog's own if ctx has none. A value of type error under the key "err" is
 // logged as the error of the line.
-func Log(ctx context.Context, e *Event, pairs ...any) { To(klog.FromContext(ctx), e, pairs...) }
+func Log(ctx context.Context, e *Event, pairs ...any) { write(klog.FromContext(ctx), e, pairs) }
 
 // To writes one event with its key-value pairs to a logger.
-func To(logger klog.Logger, e *Event, pairs ...any) {
-	logger = logger.WithCallDepth(1)
+func To(logger klog.Logger, e *Event, pairs ...any) { write(logger, e, pairs) }
+
+// callDepth is the number of this package's frames above the caller's.
+const callDepth = 2
+
+func write(logger klog.Logger, e *Event, pairs []any) {
+	logger = logger.WithCallDepth(callDepth)
 	switch e.Severity {
 	case Error:
 		rest, err := splitError(pairs)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -22,14 +22,11 @@
 	for name, raw := range sections {
 		switch name {
 		case "entry":
-			f.Entry = DefaultEntry()
-			decodeObject(name, raw, reflect.ValueOf(f.Entry).Elem(), p)
+			f.Entry = decodeSection(name, raw, DefaultEntry(), p)
 		case "sidecar":
-			f.Sidecar = DefaultSidecar()
-			decodeObject(name, raw, reflect.ValueOf(f.Sidecar).Elem(), p)
+			f.Sidecar = decodeSection(name, raw, DefaultSidecar(), p)
 		case "standalone":
-			f.Standalone = DefaultStandalone()
-			decodeObject(name, raw, reflect.ValueOf(f.Standalone).Elem(), p)
+			f.Standalone = decodeSection(name, raw, DefaultStandalone(), p)
 		default:
 			p.add(name, "unknown field", "one of entry, sidecar, standalone")
 		}
@@ -39,13 +36,22 @@
 	}
 }
 
+// decodeSection decodes a section over its defaults. It returns nil for a value
+// that is no object, whose fields would all be reported as missing.
+func decodeSection[S any](name string, raw json.RawMessage, defaults *S, p *Problems) *S {
+	if !decodeObject(name, raw, reflect.ValueOf(defaults).Elem(), p) {
+		return nil
+	}
+	return defaults
+}
+
 // decodeObject decodes a JSON object field by field, because encoding/json
-// stops at the first unknown field and all faults are to be reported at once.
-func decodeObject(path string, raw json.RawMessage, into reflect.Value, p *Problems) {
+// stops at the first unknown field and all faults are to be reported at once. It returns false if raw is no object.
+func decodeObject(path string, raw json.RawMessage, into reflect.Value, p *Problems) bool {
 	var members map[string]json.RawMessage
 	if err := json.Unmarshal(raw, &members); err != nil || members == nil {
 		p.add(path, shorten(string(raw)), "a JSON object")
-		return
+		return false
 	}
 	fields := map[string]reflect.Value{}
 	collect(into, fields)
@@ -65,6 +71,7 @@
 			}
 		}
 	}
+	return true
 }
 
 // collect maps the JSON names of the fields, including those of embedded
