--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -35,6 +36,27 @@
 	}
 }
 
+// Guards against numbers on the operators' page that no event has.
+func TestOperationsPage(t *testing.T) {
+	data, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := map[string]bool{}
+	for _, e := range All() {
+		known[fmt.Sprintf("E%04d", e.Number)] = true
+	}
+	numbers := regexp.MustCompile(`E\d{4}`).FindAllString(string(data), -1)
+	if len(numbers) == 0 {
+		t.Error("no event numbers on the page")
+	}
+	for _, n := range numbers {
+		if !known[n] {
+			t.Errorf("docs/OPERATIONS.md names the unknown event %s", n)
+		}
+	}
+}
+
 // Guards against two events with one number or name, and incomplete events.
 func TestCatalogueIsUnique(t *testing.T) {
 	numbers, names := map[int]bool{}, map[string]bool{}
--- a/internal/metrics/class.go
+++ b/internal/metrics/class.go
@@ -20,11 +20,11 @@
 	// Wait is the time from the admission of a task to its dispatch.
 	Wait *Histogram
 	// Jobs counts answered jobs by state.
-	Jobs Counters
+	Jobs *Counters
 	// Tasks counts ended tasks by state.
-	Tasks Counters
+	Tasks *Counters
 	// Refused counts refused jobs by reason.
-	Refused Counters
+	Refused *Counters
 }
 
 func newClass(root tally.Scope, key classKey) *Class {
@@ -34,9 +34,9 @@
 		Response: newHistogram(scope, "job_response_seconds"),
 		Run:      newHistogram(scope, "task_run_seconds"),
 		Wait:     newHistogram(scope, "queue_wait_seconds"),
-		Jobs:     Counters{scope: scope, name: "jobs_total", label: "state"},
-		Tasks:    Counters{scope: scope, name: "tasks_total", label: "state"},
-		Refused:  Counters{scope: scope, name: "jobs_refused_total", label: "reason"},
+		Jobs:     newCounters(scope, "jobs_total", "state"),
+		Tasks:    newCounters(scope, "tasks_total", "state"),
+		Refused:  newCounters(scope, "jobs_refused_total", "reason"),
 	}
 }
 
@@ -47,16 +47,43 @@
 	}
 }
 
-// Counters counts by the values of one label, which have to come from a fixed
-// set such as job states.
+// MaxLabelValues bounds the values of the label of Counters; further ones are
+// counted as Other.
+const MaxLabelValues = 32
+
+// Counters counts by the values of one label, such as job states. The counters
+// are kept, because looking one up in a scope copies its tags.
 type Counters struct {
 	scope       tally.Scope
 	name, label string
+
+	mu      sync.RWMutex
+	byValue map[string]tally.Counter
+}
+
+func newCounters(scope tally.Scope, name, label string) *Counters {
+	return &Counters{scope: scope, name: name, label: label, byValue: map[string]tally.Counter{}}
 }
 
 // Add adds n to the counter of a label value.
-func (c Counters) Add(value string, n int64) {
-	c.scope.Tagged(map[string]string{c.label: value}).Counter(c.name).Inc(n)
+func (c *Counters) Add(value string, n int64) { c.counter(value).Inc(n) }
+
+func (c *Counters) counter(value string) tally.Counter {
+	c.mu.RLock()
+	counter := c.byValue[value]
+	c.mu.RUnlock()
+	if counter != nil {
+		return counter
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byValue[value] == nil && len(c.byValue) >= MaxLabelValues {
+		value = Other
+	}
+	if c.byValue[value] == nil {
+		c.byValue[value] = c.scope.Tagged(map[string]string{c.label: value}).Counter(c.name)
+	}
+	return c.byValue[value]
 }
 
 // Histogram records durations for Prometheus and for the summary of the
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -19,6 +19,9 @@
 		c.Response.Record(30 * time.Millisecond)
 		c.Jobs.Add("complete", 1)
 	}
+	for i := range 2 * MaxLabelValues {
+		r.Class("team0", "roster-check").Refused.Add(fmt.Sprint("reason", i), 1)
+	}
 	if err := r.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -30,6 +33,7 @@
 		`cardamomturn_jobs_total{kind="roster-check",role="entry",state="complete",team="team1"} 1`,
 		`cardamomturn_jobs_total{kind="other",role="entry",state="complete",team="other"} 3`,
 		`cardamomturn_job_response_seconds_bucket{kind="roster-check",role="entry",team="team0",le="0.05"} 1`,
+		`cardamomturn_jobs_refused_total{kind="roster-check",reason="other",role="entry",team="team0"} 32`,
 	} {
 		if !strings.Contains(body, want) {
 			t.Errorf("no line %s in %d bytes of metrics", want, len(body))
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -77,8 +77,8 @@
 	p.target("entry.store.address", e.Store.Address)
 	p.duration("entry.store.timeout", e.Store.Timeout, 10*time.Millisecond, time.Minute)
 	e.Timing.check("entry", p)
-	p.number("entry.acceptWindows", int64(e.AcceptWindows), 1, 60)
-	p.number("entry.retainWindows", int64(e.RetainWindows), int64(e.AcceptWindows)+1, 240)
+	p.number("entry.acceptWindows", int64(e.AcceptWindows), 1, maxAccept)
+	p.number("entry.retainWindows", int64(e.RetainWindows), int64(min(e.AcceptWindows, maxAccept))+1, 240)
 	p.number("entry.requestBytes", int64(e.RequestBytes), 1<<10, 4<<20)
 	p.number("entry.answerBytes", e.AnswerBytes, 1<<20, 1<<30)
 }
@@ -118,14 +118,23 @@
 	s.Timing.check("standalone", p)
 }
 
+// Upper bounds that other ranges begin at. A value above one is counted as the
+// bound there, so that one fault doesn't make another range empty.
+const (
+	maxAccept    = 60 // windows
+	maxBeat      = 10 * time.Second
+	maxSelfLease = time.Minute
+)
+
 func (t *Timing) check(at string, p *Problems) {
-	p.duration(at+".beatInterval", t.BeatInterval, 10*time.Millisecond, 10*time.Second)
+	beat, lease := min(t.BeatInterval.Std(), maxBeat), min(t.SelfLease.Std(), maxSelfLease)
+	p.duration(at+".beatInterval", t.BeatInterval, 10*time.Millisecond, maxBeat)
 	// A heartbeat renews credits older than a third of the TTL.
-	p.duration(at+".creditTTL", t.CreditTTL, 3*t.BeatInterval.Std(), time.Minute)
+	p.duration(at+".creditTTL", t.CreditTTL, 3*beat, time.Minute)
 	// One lost heartbeat must not end the self-lease.
-	p.duration(at+".selfLease", t.SelfLease, 2*t.BeatInterval.Std(), time.Minute)
+	p.duration(at+".selfLease", t.SelfLease, 2*beat, maxSelfLease)
 	// An entry instance has stopped before the others count it as dead.
-	p.duration(at+".deadAfter", t.DeadAfter, t.SelfLease.Std(), 5*time.Minute)
+	p.duration(at+".deadAfter", t.DeadAfter, lease, 5*time.Minute)
 	p.duration(at+".window", t.Window, time.Second, 10*time.Minute)
 	p.duration(at+".shutdownTimeout", t.ShutdownTimeout, 100*time.Millisecond, 10*time.Minute)
 }
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
 	"strings"
@@ -31,6 +32,7 @@
 			p.add(name, "unknown field", "one of entry, sidecar, standalone")
 		}
 	}
+	repeated("", json.NewDecoder(bytes.NewReader(data)), p)
 	if len(sections) == 0 {
 		p.add("file", "{}", "at least one of entry, sidecar, standalone")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,21 @@
 	}
 }
 
+// Guards against a field that is given twice, of which one value would be lost
+// silently, and against an empty range after another fault.
+func TestParseReportsRepeatsAndRanges(t *testing.T) {
+	_, err := Parse([]byte(strings.Replace(goodEntry, `"zone":"z1"`, `"zone":"z1","zone":"z2","selfLease":"10m",
+		"store":{"address":"10.0.0.9:1","timeout":"1s","timeout":"1s"}`, 1)))
+	for _, want := range []string{
+		"entry.zone: given twice", "entry.store: given twice", "entry.store.timeout: given twice",
+		"entry.selfLease: 10m0s: want 500ms to 1m0s", "entry.deadAfter: 3s: want 1m0s to 5m0s", "5 faults",
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in:\n%v", want, err)
+		}
+	}
+}
+
 // Guards against a panic or an acceptance of files that aren't one object.
 func TestParseRejectsOtherValues(t *testing.T) {
 	for _, text := range []string{"", "[]", "null", "{}", "{} {}", `{"entry":3}`, `{"entry":null}`} {
