--- /dev/null
+++ b/test/experiment/history/check_test.go
@@ -0,0 +1,143 @@
+package history
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+)
+
+var testBounds = Bounds{OneWay: time.Millisecond, InForce: 2 * time.Second}
+
+func answer(id, request string, states ...jobapi.TaskState) *jobapi.JobAnswer {
+	a := &jobapi.JobAnswer{SubmissionID: id, State: jobapi.JobComplete}
+	for i, s := range states {
+		body, _ := json.Marshal(Echo{Request: request, Task: i})
+		a.Tasks = append(a.Tasks, jobapi.TaskAnswer{State: s, Result: body})
+		if s != jobapi.TaskCompleted {
+			a.State = jobapi.JobFailed
+		}
+	}
+	return a
+}
+
+func i64(v int64) *int64 { return &v }
+
+// clean returns a history with two finished jobs, a graceful shutdown, a
+// backend server that leaves, and two edits.
+func clean() *History {
+	s := time.Second
+	done := jobapi.TaskCompleted
+	return &History{
+		Until: 30 * s,
+		Events: []Event{
+			{At: 0, Type: Up, Process: "entry-0#1"},
+			{At: 0, Type: Observe, Process: "entry-0#1", Revision: 1},
+			{At: 1 * s, Type: Submit, Call: 1, Process: "entry-0#1", Submission: "a", Request: "ra", Tasks: 2},
+			{At: 1 * s, Type: Submit, Call: 2, Process: "entry-0#1", Submission: "b", Request: "rb", Tasks: 1},
+			{At: 2 * s, Type: Start, Process: "backend-0", Peer: "sidecar-0", Submission: "a", Task: 0},
+			{At: 2 * s, Type: Start, Process: "backend-1", Peer: "sidecar-1", Submission: "a", Task: 1},
+			{At: 2 * s, Type: Start, Process: "backend-1", Peer: "sidecar-1", Submission: "b", Task: 0},
+			{At: 3 * s, Type: Leave, Process: "backend-0"},
+			{At: 3 * s, Type: Shutdown, Process: "entry-0#1"},
+			{At: 4 * s, Type: End, Process: "backend-0", Submission: "a", Task: 0},
+			{At: 4 * s, Type: End, Process: "backend-1", Submission: "a", Task: 1},
+			{At: 4 * s, Type: End, Process: "backend-1", Submission: "b", Task: 0},
+			{At: 5 * s, Type: Response, Call: 1, Answer: answer("a", "ra", done, done)},
+			{At: 5 * s, Type: Response, Call: 2, Answer: answer("b", "rb", done)},
+			{At: 6 * s, Type: Observe, Process: "entry-0#1", Revision: 3},
+		},
+		Commits: []Commit{
+			{Call: 4 * s, Return: 5 * s, Resource: "limits/x", Revision: 2, Outcome: Accepted, Limit: i64(5)},
+			{Call: 5 * s, Return: 6 * s, Resource: "limits/x", Expect: 2, Revision: 3, Outcome: Accepted, Limit: i64(9)},
+			{Call: 5 * s, Return: 7 * s, Resource: "limits/x", Expect: 2, Revision: 3, Outcome: Conflict},
+		},
+	}
+}
+
+// TestCheck guards against a checker that overlooks a broken invariant or
+// reports one in a clean history.
+func TestCheck(t *testing.T) {
+	s := time.Second
+	add := func(e ...Event) func(*History) {
+		return func(h *History) { h.Events = append(h.Events, e...) }
+	}
+	commit := func(m Commit) func(*History) {
+		m.Outcome = Accepted
+		return func(h *History) { h.Commits = append(h.Commits, m) }
+	}
+	respond := func(i int, a *jobapi.JobAnswer) func(*History) {
+		return func(h *History) { h.Events[i].Answer = a }
+	}
+	done := jobapi.TaskCompleted
+	notRun := &jobapi.JobAnswer{SubmissionID: "b", State: jobapi.JobRefused, NotRun: true}
+	tests := []struct {
+		name, want string
+		plant      func(*History)
+	}{
+		{"clean", "", func(*History) {}},
+		{"double start", "P1", add(Event{At: 5 * s, Type: Start, Process: "backend-2", Submission: "a", Task: 1})},
+		{"partial answer", "P2", respond(12, answer("a", "ra", done))},
+		{"failed answer with a running task", "P2", respond(12, answer("a", "ra", done, jobapi.TaskRunning))},
+		{"completed without an end", "P2", func(h *History) { h.Events[11].Submission = "c" }},
+		{"answer taken back", "P2", add(
+			Event{At: 7 * s, Type: Query, Call: 3, Submission: "a"},
+			Event{At: 8 * s, Type: Response, Call: 3, Answer: &jobapi.JobAnswer{SubmissionID: "a", State: jobapi.JobRunning}})},
+		{"answer of another submission", "P3", respond(13, answer("a", "ra", done))},
+		{"result of another request", "P3", respond(13, answer("b", "ra", done))},
+		{"false not run", "P4", respond(13, notRun)},
+		{"false not run of a task", "P4", respond(12, answer("a", "ra", done, jobapi.TaskNotRun))},
+		{"run under a second ID", "P5", add(
+			Event{At: 6 * s, Type: Submit, Call: 3, Submission: "c", Request: "rb", Tasks: 1},
+			Event{At: 7 * s, Type: Start, Process: "backend-1", Submission: "c"})},
+		{"late dispatch to a leaving server", "P6", add(
+			Event{At: 4*s + 2*time.Millisecond, Type: Start, Process: "backend-0", Submission: "c"})},
+		{"dispatch in time to a leaving server", "", add(
+			Event{At: 4*s + time.Millisecond, Type: Start, Process: "backend-0", Submission: "c"})},
+		{"cut request", "P7", func(h *History) { h.Events[13].Type = Lost }},
+		{"cut task", "P7", func(h *History) {
+			h.Events[8].Process = "sidecar-1"
+			h.Events = append(h.Events, Event{At: 4 * s, Type: Abort, Process: "backend-1", Peer: "sidecar-1", Submission: "a", Task: 1})
+		}},
+		{"cut by a fault", "", func(h *History) {
+			h.Events[13].Type = Lost
+			h.Events[9] = Event{At: 4 * s, Type: Fault, Process: "entry-0#1"}
+			h.Events[12].Type = Lost
+		}},
+		{"reverted configuration", "P8", add(Event{At: 7 * s, Type: Observe, Process: "entry-0#1", Revision: 2})},
+		{"edit accepted on an old version", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "limits/x", Expect: 2, Revision: 4, Limit: i64(9)})},
+		{"revision used twice", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "teams/y", Revision: 3})},
+		{"edit never in force", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "teams/y", Revision: 4})},
+		{"lowered limit", "P8", func(h *History) { h.Commits[1].Limit = i64(4) }},
+		{"allowed decrease", "", func(h *History) { h.Commits[1].Limit, h.Commits[1].AllowDecrease = i64(4), true }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := clean()
+			tt.plant(h)
+			found := Check(h, testBounds)
+			if tt.want == "" && len(found) > 0 {
+				t.Fatalf("violations in an allowed history: %v", found)
+			}
+			for _, v := range found {
+				if v.Invariant == tt.want {
+					return
+				}
+			}
+			if tt.want != "" {
+				t.Fatalf("no violation of %s, got %v", tt.want, found)
+			}
+		})
+	}
+}
+
+// TestUnknownEdit guards against rejecting a history in which an edit of
+// unknown outcome took effect later.
+func TestUnknownEdit(t *testing.T) {
+	h := clean()
+	h.Commits[0].Outcome = Unknown
+	if found := Check(h, testBounds); len(found) > 0 {
+		t.Fatalf("violations: %v", found)
+	}
+}
