--- a/test/experiment/cluster/operator.go
+++ b/test/experiment/cluster/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -72,6 +73,8 @@
 	}
 	status, got, err := o.do(address, fasthttp.MethodPut, path, body)
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return m, errors.Annotatef(errNoEffect, "%s at %s: %v", path, address, err)
 	case err == nil && status/100 == 2:
 		m.Outcome, m.Revision = history.Accepted, got.Metadata.ResourceVersion
 	case err == nil && status == fasthttp.StatusConflict:
--- /dev/null
+++ b/test/experiment/runs/runs.go
@@ -0,0 +1,89 @@
+// Package runs holds the experiments, one file each.
+package runs
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
+	"github.com/cardamomturn/cardamomturn/test/experiment/load"
+	"github.com/cardamomturn/cardamomturn/test/experiment/report"
+)
+
+// Settings are the choices of one run.
+type Settings struct {
+	Seed uint64
+	// Duration of the load; zero selects that of the experiment.
+	Duration time.Duration
+	// Short divides the experiment's own duration by shortFactor.
+	Short bool
+	New   cluster.Factory
+}
+
+// shortFactor divides the duration of short runs.
+const shortFactor = 4
+
+// Experiment is one named experiment.
+type Experiment struct {
+	About    string
+	Duration time.Duration
+	run      func(*run) error
+}
+
+var experiments = map[string]Experiment{
+	"steady":       {"response times against the ideal at 70% of the slots", 20 * time.Second, steady},
+	"flood-low":    {"overload by the least urgent work, Torno Andino", 15 * time.Second, floodLow},
+	"flood-high":   {"overload by the most urgent work, Torno Andino", 15 * time.Second, floodHigh},
+	"refund-flood": {"overload by refund checks, Safari", 15 * time.Second, refundFlood},
+	"waste":        {"wasted messages per started task", 12 * time.Second, waste},
+	"churn":        {"faults and drains of processes, a rack and a zone", 44 * time.Second, churn},
+	"store-outage": {"the store slow, losing answers and down", 30 * time.Second, storeOutage},
+	"config":       {"2,400 racing edits and restarts", 20 * time.Second, config},
+	"bad-workers":  {"a worker that fails every task and a straggler", 15 * time.Second, badWorkers},
+	"limits":       {"limits under three times their demand", 15 * time.Second, limits},
+	"overhead":     {"latency added to a direct call", 10 * time.Second, overhead},
+}
+
+// Names returns the names of the experiments, sorted.
+func Names() []string { return slices.Sorted(maps.Keys(experiments)) }
+
+// Get returns an experiment, or an error that satisfies errors.IsNotFound.
+func Get(name string) (Experiment, error) {
+	e, ok := experiments[name]
+	if !ok {
+		return e, errors.NotFoundf("experiment %q", name)
+	}
+	return e, nil
+}
+
+// run is the state of one experiment.
+type run struct {
+	Settings
+	name  string
+	rep   *report.Report
+	trace []load.Line
+}
+
+// Run runs an experiment. The trace is that of its last phase.
+func Run(name string, s Settings) (*report.Report, []load.Line, error) {
+	e, err := Get(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	if s.Duration <= 0 {
+		s.Duration = e.Duration
+		if s.Short {
+			s.Duration /= shortFactor
+		}
+	}
+	r := &run{Settings: s, name: name, rep: report.New(name, s.Seed)}
+	r.rep.Short = s.Short
+	r.rep.Sizes["durationS"] = s.Duration.Seconds()
+	if err := e.run(r); err != nil {
+		return nil, nil, errors.Annotatef(err, "experiment %s", name)
+	}
+	return r.rep, r.trace, nil
+}
--- /dev/null
+++ b/test/experiment/runs/steady.go
@@ -0,0 +1,84 @@
+package runs
+
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
+	"github.com/cardamomturn/cardamomturn/test/experiment/load"
+	"github.com/cardamomturn/cardamomturn/test/experiment/report"
+)
+
+const (
+	steadyFraction = 0.7
+	idealP50       = 1.05
+	idealP99       = 1.25
+	// completeShare of the steady jobs have to be complete, so that refusals
+	// can't improve the response times.
+	completeShare = 0.999
+)
+
+// steady compares response times with the ideal in both deployments.
+func steady(r *run) error {
+	for _, d := range []load.Deployment{load.Torno("low"), load.Safari()} {
+		jobs := load.Generate(d, load.Spec{Duration: r.Duration, Fraction: steadyFraction}, r.Seed)
+		out, _, err := r.measure(d, jobs)
+		if err != nil {
+			return err
+		}
+		r.compare(d, jobs, out)
+	}
+	return nil
+}
+
+// compare sets the figures relative to the ideal: the ratio of the quantiles
+// (the target) and the quantiles of the ratio of each job.
+func (r *run) compare(d load.Deployment, jobs []load.Arrival, out []cluster.Outcome) {
+	ideal := load.Ideal(d, jobs)
+	base := load.Baseline(d, jobs, r.Seed)
+	real := responses(out, cluster.Outcome.Complete)
+	var ratios []float64
+	for i, o := range out {
+		if o.Complete() {
+			ratios = append(ratios, float64(o.Response)/float64(ideal[i]))
+		}
+	}
+	pre := d.Name + "."
+	r.rep.Sizes[pre+"jobs"] = float64(len(jobs))
+	r.rep.Figure(pre+"completeShare", share(len(real), len(out)))
+	r.rep.Target(pre+"completeShare", report.AtLeast, completeShare)
+	for _, q := range []struct {
+		name  string
+		q     float64
+		bound float64
+	}{{"P50", 0.5, idealP50}, {"P99", 0.99, idealP99}} {
+		best := report.Quantile(ideal, q.q)
+		r.rep.Figure(pre+"ideal"+q.name+"Ms", report.Ms(best))
+		r.rep.Figure(pre+"response"+q.name+"Ms", report.Ms(report.Quantile(real, q.q)))
+		r.rep.Figure(pre+"simulatedBaseline"+q.name+"Ms", report.Ms(report.Quantile(base, q.q)))
+		r.rep.Figure(pre+"jobRatio"+q.name, report.QuantileRatio(ratios, q.q))
+		r.rep.Figure(pre+"ratio"+q.name, ratio(report.Quantile(real, q.q), best))
+		r.rep.Target(pre+"ratio"+q.name, report.AtMost, q.bound)
+	}
+}
+
+// responses returns the response times of the outcomes that match.
+func responses(out []cluster.Outcome, match func(cluster.Outcome) bool) []time.Duration {
+	var list []time.Duration
+	for _, o := range out {
+		if match(o) {
+			list = append(list, o.Response)
+		}
+	}
+	return list
+}
+
+// share is not a number if there is nothing to have a share of.
+func share(part, whole int) float64 { return float64(part) / float64(whole) }
+
+// ratio is not a number if either duration is missing.
+func ratio(a, b time.Duration) float64 {
+	if a == 0 {
+		return share(0, 0)
+	}
+	return float64(a) / float64(b)
+}
--- /dev/null
+++ b/test/experiment/runs/waste.go
@@ -0,0 +1,70 @@
+package runs
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/test/experiment/load"
+	"github.com/cardamomturn/cardamomturn/test/experiment/report"
+)
+
+const (
+	wasteSteady  = 0.02
+	wasteTrouble = 0.10
+)
+
+// waste counts wasted messages per started task under steady load, in a flood
+// and under churn.
+func waste(r *run) error {
+	d := load.Torno("low")
+	calm := load.Spec{Duration: r.Duration, Fraction: steadyFraction}
+	flooded := load.Spec{
+		Duration: r.Duration, Fraction: floodOthers, MaxTasks: floodMaxTasks, Flood: floodFactor,
+		FloodFrom: scale(r.Duration, floodFromShare), FloodTo: scale(r.Duration, floodToShare),
+	}
+	if err := r.countWaste("steady", d, calm, nil, wasteSteady); err != nil {
+		return err
+	}
+	if err := r.countWaste("flood", d, flooded, nil, wasteTrouble); err != nil {
+		return err
+	}
+	rnd := rand.New(rand.NewPCG(r.Seed, 5))
+	steps := churnSteps(d, rnd)
+	rnd.Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
+	steps = steps[:min(len(steps), max(1, int(r.Duration/r.gap())-1))]
+	calm.Fraction = churnFraction
+	return r.countWaste("churn", d, calm, steps, wasteTrouble)
+}
+
+func (r *run) countWaste(name string, d load.Deployment, s load.Spec, steps []step, bound float64) error {
+	p, err := r.start(d, d.Document())
+	if err != nil {
+		return err
+	}
+	before := p.c.Counters()
+	var wg sync.WaitGroup
+	var failed error
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		failed = p.inject(steps, r.gap())
+	}()
+	p.drive(load.Generate(d, s, r.Seed))
+	wg.Wait()
+	after := p.c.Counters()
+	if _, err := p.close(); err != nil {
+		return err
+	}
+	starts := int(after.Starts - before.Starts)
+	r.rep.Sizes[name+".starts"] = float64(starts)
+	r.rep.Figure(name+".wastedPerStart", share(int(after.Wasted-before.Wasted), starts))
+	r.rep.Target(name+".wastedPerStart", report.AtMost, bound)
+	r.rep.Figure(name+".controlPerStart", share(int(after.Control-before.Control), starts))
+	return errors.Trace(failed)
+}
+
+// scale returns a share of a duration.
+func scale(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
