ctl: report an outcome as unknown after a server fault

Cause: after a 5xx of a server or load balancer, a later 429 without an answer was reported as refused and not run, though the first request may have submitted the job; a 500 ended the command with exit code 1.

--- a/internal/ctl/submission.go
+++ b/internal/ctl/submission.go
@@ -66,41 +66,32 @@
 
 	// sent is true once a request may have reached a server.
 	sent bool
+	// known is true while the job is asked for, and false while it is submitted.
+	known bool
 }
 
 // run submits the job and asks until the answer is final. Submitting again is
 // safe because the owner joins a repeated submission to the existing job.
 func (s *submission) run() (*jobapi.JobAnswer, error) {
-	known := false
 	for attempt := 0; ; attempt++ {
-		res, err := s.ask(known)
-		switch {
-		case err != nil:
+		res, err := s.ask()
+		if err != nil {
 			var l *lostError
 			if !errors.As(err, &l) {
 				return nil, err
 			}
 			s.sent = s.sent || l.sent
-			known = s.sent
-		case known && res.Status == fasthttp.StatusNotFound:
+			s.known = s.sent
+		} else if s.known && res.Status == fasthttp.StatusNotFound {
 			// The lost submission never arrived.
-			known = false
-		default:
-			s.sent = true
-			answer, err := decodeAnswer("submission "+s.req.SubmissionID, res)
-			if err != nil && exitCode(err) != ExitUnavailable {
-				return nil, err
+			s.known = false
+		} else {
+			var answer *jobapi.JobAnswer
+			if answer, err = s.judge(res); answer != nil || err != nil && !serverFault(res) {
+				return answer, err
 			}
-			if err == nil && retryable(answer) {
-				// Asking for the job lets another instance recover its outcome.
-				known = true
-			} else if err == nil {
-				if answer.State.Final() {
-					return answer, nil
-				}
-				known = true
-				attempt = 0
-				s.report(answer)
+			if res.Status == fasthttp.StatusAccepted {
+				attempt = 0 // the job is running, so the server is well
 			}
 		}
 		if !s.client.pause(attempt) {
@@ -109,17 +100,49 @@
 	}
 }
 
+// serverFault reports whether the response says nothing of the job, because a
+// server or load balancer failed.
+func serverFault(res *response) bool { return res.Status >= fasthttp.StatusInternalServerError }
+
+// judge returns the final answer in a response, or nil if it has to be asked
+// for again.
+func (s *submission) judge(res *response) (*jobapi.JobAnswer, error) {
+	before := s.sent
+	s.sent = true
+	answer, err := decodeAnswer("submission "+s.req.SubmissionID, res)
+	switch {
+	case err != nil && serverFault(res):
+		s.known = true
+		return nil, err
+	case err != nil && before && exitCode(err) != ExitConflict:
+		// An earlier request may have submitted the job, which an error of this
+		// one doesn't deny.
+		return nil, &codeError{ExitUnknown, errors.Annotate(err, "outcome unknown")}
+	case err != nil:
+		return nil, err
+	case retryable(answer):
+		// Asking for the job lets another instance recover its outcome.
+		s.known = true
+		return nil, nil
+	case answer.State.Final():
+		return answer, nil
+	}
+	s.known = true
+	s.report(answer)
+	return nil, nil
+}
+
 // retryable reports whether the answer only says that the owner could not be
 // asked.
 func retryable(a *jobapi.JobAnswer) bool { return a.Reason == jobapi.ReasonOwnerUnreached && !a.NotRun }
 
-func (s *submission) ask(known bool) (*response, error) {
+func (s *submission) ask() (*response, error) {
 	c := s.client
 	wait := "?wait=true"
 	if s.progress != nil {
 		wait = "?wait=false"
 	}
-	if !known {
+	if !s.known {
 		return c.call(fasthttp.MethodPost, c.server, "/v1/jobs"+wait, s.req)
 	}
 	if s.progress != nil {
--- a/internal/ctl/submission_test.go
+++ b/internal/ctl/submission_test.go
@@ -73,3 +73,26 @@
 		t.Errorf("stats: exit code %d, output %s", code, out)
 	}
 }
+
+// Guards against an error without an answer being reported as "not run" after
+// an earlier request that may have submitted the job.
+func TestSubmitErrorAfterServerFault(t *testing.T) {
+	for name, c := range map[string]struct {
+		statuses []int
+		want     int
+	}{
+		"refused at once":       {[]int{429}, ExitRefused},
+		"refused after a fault": {[]int{502, 429}, ExitUnknown},
+		"faults until the end":  {[]int{500}, ExitUnknown},
+	} {
+		calls := 0
+		address := serve(t, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(c.statuses[min(calls, len(c.statuses)-1)])
+			calls++
+		})
+		code, _, errOut := run(address, "", "submit", "--timeout", "500ms", "--team", "a", "--kind", "b", "--id", prefix+"x")
+		if code != c.want {
+			t.Errorf("%s: exit code %d, want %d: %s", name, code, c.want, errOut)
+		}
+	}
+}
