node: assemble the processes and wire the daemon

Cause: the roles were built apart. Change: package node joins an entry instance with its controllers, its Resource API and its status; the daemon starts all three roles; the limits and membership controllers use the store.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -84,8 +84,11 @@
 	if allowDecrease {
 		path += "?allowDecrease=true"
 	}
-	var o object
-	err := c.resource(fasthttp.MethodPut, path, object{Metadata: e.Metadata, Spec: e.Spec}, &o)
+	var accepted struct {
+		Object object `json:"object"`
+	}
+	err := c.resource(fasthttp.MethodPut, path, object{Metadata: e.Metadata, Spec: e.Spec}, &accepted)
+	o := accepted.Object
 	return Envelope{Type: e.Type, Metadata: o.Metadata, Spec: o.Spec}, err
 }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -74,6 +74,10 @@
 	return ExitError
 }
 
+// Unavailable reports whether an error of a Client means that the server could
+// not be reached or is not ready.
+func Unavailable(err error) bool { return exitCode(err) == ExitUnavailable }
+
 // program holds the global settings of one run.
 type program struct {
 	Streams
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -76,9 +76,11 @@
 func TestInvoke(t *testing.T) {
 	own := settings.DefaultEntry()
 	provide := func() *settings.Entry { return own }
-	err := invoke("entry", provide, newEntry, func(EntryRole) error { return nil })
-	if !errors.Is(err, errNotLinked) {
-		t.Errorf("placeholder: %v", err)
+	fault := errors.New("port in use")
+	failing := func(*settings.Entry, *metrics.Registry) (EntryRole, error) { return nil, fault }
+	err := invoke("entry", provide, failing, func(EntryRole) error { return nil })
+	if !errors.Is(err, fault) {
+		t.Errorf("failing constructor: %v", err)
 	}
 	construct := func(s *settings.Entry, m *metrics.Registry) (EntryRole, error) {
 		if s != own || m == nil {
--- a/internal/daemon/standalone.go
+++ b/internal/daemon/standalone.go
@@ -108,9 +108,9 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case a := <-r.Ready():
+	case <-r.Ready():
 		return standalone.Run(ctx, standalone.Options{
-			Caller: a.Caller, Operator: a.Operator, Out: s.Out, Timeout: sampleTimeout, RunMs: sampleRunMs,
+			Caller: r.CallerAddr(), Operator: r.OperatorAddr(), Out: s.Out, Timeout: sampleTimeout, RunMs: sampleRunMs,
 		})
 	}
 }
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -1,12 +1,22 @@
 package daemon
 
 import (
-	"github.com/juju/errors"
+	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/entry"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/node"
 	"github.com/cardamomturn/cardamomturn/internal/settings"
+	"github.com/cardamomturn/cardamomturn/internal/sidecar"
+	"github.com/cardamomturn/cardamomturn/internal/standalone"
+	"github.com/cardamomturn/cardamomturn/internal/store"
+	"github.com/cardamomturn/cardamomturn/internal/store/httpstore"
 )
 
+// joinMargin is added to the bounds after which a sidecar grants credits to an
+// entry instance that no other entry instance can vouch for.
+const joinMargin = time.Second
+
 // EntryRole is the runtime of an entry instance.
 type EntryRole interface{ Runner }
 
@@ -16,31 +26,73 @@
 // StandaloneRole is the runtime of all roles in one process.
 type StandaloneRole interface {
 	Runner
-	// Ready delivers the addresses once when both APIs accept connections.
-	Ready() <-chan Addresses
+	// Ready is closed when both APIs accept connections and all workers are
+	// attached.
+	Ready() <-chan struct{}
+	// CallerAddr and OperatorAddr are the addresses of the APIs, "ip:port".
+	CallerAddr() string
+	OperatorAddr() string
 }
 
-// Addresses are those of the APIs of a standalone process, "ip:port".
-type Addresses struct {
-	Caller   string
-	Operator string
+// newStore builds the client of the platform's store.
+func newStore(s *settings.Entry) (store.Store, error) {
+	return httpstore.New(httpstore.Settings{Address: s.Store.Address, TimeoutMs: s.Store.Timeout.Std().Milliseconds()})
 }
 
-// errNotLinked means that this build lacks the runtime of a role.
-const errNotLinked = errors.ConstError("the runtime of this role is not part of this build")
-
 // newEntry builds the runtime of an entry instance.
-func newEntry(s *settings.Entry, _ *metrics.Registry) (EntryRole, error) {
-	return nil, errors.Annotatef(errNotLinked, "instance %s", s.Instance)
+func newEntry(s *settings.Entry, m *metrics.Registry) (EntryRole, error) {
+	st, err := newStore(s)
+	if err != nil {
+		return nil, err
+	}
+	return node.NewEntry(entryConfig(s), st, m)
+}
+
+func entryConfig(s *settings.Entry) entry.Config {
+	cfg := timing(s.Timing)
+	cfg.Instance, cfg.Zone, cfg.Region = s.Instance, s.Zone, s.Region
+	cfg.CallerAddress, cfg.OperatorAddress = s.CallerAddress, s.OperatorAddress
+	cfg.InternalAddress, cfg.Advertise = s.InternalAddress, s.AdvertiseAddress
+	cfg.Peers = s.Peers
+	cfg.MaxBody = s.RequestBytes
+	cfg.AcceptWindows, cfg.RetainWindows = uint64(s.AcceptWindows), uint64(s.RetainWindows)
+	cfg.AnswerBytes = s.AnswerBytes
+	return cfg
+}
+
+func timing(t settings.Timing) entry.Config {
+	return entry.Config{
+		CreditTTL: t.CreditTTL.Std(), BeatInterval: t.BeatInterval.Std(), SelfLease: t.SelfLease.Std(),
+		SilentAfter: t.DeadAfter.Std(), Window: t.Window.Std(), DrainTimeout: t.ShutdownTimeout.Std(),
+	}
 }
 
 // newSidecar builds the runtime of a sidecar.
-func newSidecar(s *settings.Sidecar, _ *metrics.Registry) (SidecarRole, error) {
-	return nil, errors.Annotatef(errNotLinked, "instance %s", s.Instance)
+func newSidecar(s *settings.Sidecar, m *metrics.Registry) (SidecarRole, error) {
+	cfg := sidecarConfig(s.Timing)
+	cfg.Instance, cfg.Zone, cfg.Rack = s.Instance, s.Zone, s.Rack
+	cfg.LocalAddress, cfg.InternalAddress, cfg.OperatorAddress = s.LocalAddress, s.InternalAddress, s.OperatorAddress
+	cfg.AdvertiseAddress, cfg.EntryAddresses = s.AdvertiseAddress, s.EntryAddresses
+	cfg.LedgerRetain = time.Duration(s.LedgerWindows) * s.Window.Std()
+	cfg.ResultBytes = s.LedgerBytes
+	return node.NewSidecar(cfg, m)
+}
+
+func sidecarConfig(t settings.Timing) sidecar.Config {
+	return sidecar.Config{
+		BeatInterval: t.BeatInterval.Std(), CreditTTL: t.CreditTTL.Std(), SilentAfter: t.DeadAfter.Std(),
+		JoinDelay: t.DeadAfter.Std() + t.SelfLease.Std() + joinMargin,
+	}
 }
 
 // newStandalone builds all roles with the embedded store and the sample
 // backend servers.
-func newStandalone(s *settings.Standalone, _ *metrics.Registry) (StandaloneRole, error) {
-	return nil, errors.Annotatef(errNotLinked, "caller address %s", s.CallerAddress)
+func newStandalone(s *settings.Standalone, m *metrics.Registry) (StandaloneRole, error) {
+	cfg := timing(s.Timing)
+	cfg.Instance, cfg.Zone = "standalone", "zone-1"
+	cfg.CallerAddress, cfg.OperatorAddress = s.CallerAddress, s.OperatorAddress
+	return node.NewStandalone(node.StandaloneConfig{
+		Entry: cfg, Sidecar: sidecarConfig(s.Timing),
+		Backends: s.Backends, Slots: s.Slots, Service: standalone.Service,
+	}, m)
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -10,6 +10,8 @@
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/fasthttp/router"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 )
 
 // Config is the static configuration of an entry instance.
@@ -40,6 +42,9 @@
 	ReclaimAfter time.Duration
 	// Window is the length of a submission window.
 	Window time.Duration
+	// AcceptWindows, RetainWindows and AnswerBytes are those of dispatch.Config.
+	AcceptWindows, RetainWindows uint64
+	AnswerBytes                  int64
 	// MaxBody bounds a caller's request body in bytes.
 	MaxBody int
 	// ReadTimeout bounds the time to read a request.
@@ -79,6 +84,9 @@
 	set(&c.Window, DefaultWindow)
 	set(&c.ReadTimeout, DefaultReadTimeout)
 	set(&c.DrainTimeout, DefaultDrainTimeout)
+	if c.RetainWindows == 0 {
+		c.RetainWindows = dispatch.DefaultRetainWindows
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxBody
 	}
@@ -102,6 +110,14 @@
 // Deps are the collaborators of an entry instance.
 type Deps struct {
 	Configuration Configuration
-	Operator      func(*router.Router)
-	Metrics       *metrics.Registry
+	// Operator adds routes to the operator port; it may be nil.
+	Operator func(*router.Router)
+	// Metrics may be nil.
+	Metrics *metrics.Registry
+	// StatusChanged is told when a revision came into force everywhere; it may
+	// be nil.
+	StatusChanged func()
 }
+
+// retention is how long submissions and lost members are remembered.
+func (c Config) retention() time.Duration { return time.Duration(c.RetainWindows) * c.Window }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -87,7 +87,7 @@
 		missing: map[string]time.Duration{},
 		losses:  membership.NewGrouper(time.Second),
 	}
-	bounds := membership.Config{SilentAfter: e.cfg.SilentAfter, DeadAfter: e.cfg.GoneAfter, Retain: retainWindows * e.cfg.Window}
+	bounds := membership.Config{SilentAfter: e.cfg.SilentAfter, DeadAfter: e.cfg.GoneAfter, Retain: e.cfg.retention()}
 	c.sidecars = membership.New(bounds)
 	// A silent entry instance may be cut off for minutes with its region; it is
 	// declared dead earlier only when that is needed and safe.
@@ -109,10 +109,13 @@
 	}
 	c.ledger.Apply(c.allocation)
 	c.machine = dispatch.New(dispatch.Config{
-		Self:      p,
-		Zone:      c.e.cfg.Zone,
-		CreditTTL: c.e.cfg.CreditTTL,
-		Limiter:   c.ledger,
+		Self:          p,
+		Zone:          c.e.cfg.Zone,
+		CreditTTL:     c.e.cfg.CreditTTL,
+		Limiter:       c.ledger,
+		AcceptWindows: c.e.cfg.AcceptWindows,
+		RetainWindows: c.e.cfg.RetainWindows,
+		ResultBytes:   c.e.cfg.AnswerBytes,
 	}, c.rnd)
 	c.machine.SetWindow(now, c.window.Load())
 	c.machine.Drain(c.draining.Load())
@@ -242,7 +245,7 @@
 		c.e.log(lossEvents[l.Scope], "place", l.Place, "members", l.Members)
 	}
 	for p, at := range c.gone {
-		if now-at > retainWindows*c.e.cfg.Window {
+		if now-at > c.e.cfg.retention() {
 			delete(c.gone, p)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,9 @@
 	oper    *fasthttp.Server
 	beats   *beats
 	pulling atomic.Bool
+	work    *workCache
+	// progress is the newest view of the revisions in force.
+	progress atomic.Pointer[progress]
 
 	callerLis, operLis, rpcLis net.Listener
 
@@ -53,6 +56,7 @@
 		return nil, err
 	}
 	e.core = newCore(e)
+	e.work = &workCache{e: e}
 	e.beats = newBeats(e.ctx, e.core)
 	e.rpc.OnBadFrame = func(peer string, err error) { e.log(event.RPCFrameRejected, "peer", peer, "err", err) }
 	if err := e.rpc.Register(wire.ServiceEntry, service{e}); err != nil {
@@ -112,6 +116,9 @@
 	}
 }
 
+// Close closes the ports of an instance that was not run.
+func (e *Entry) Close() { e.closeListeners() }
+
 // CallerAddr returns the address of the caller port.
 func (e *Entry) CallerAddr() string { return e.callerLis.Addr().String() }
 
@@ -141,6 +148,7 @@
 		})
 	}
 	e.wg.Go(func() { e.core.run(e.ctx) })
+	e.wg.Go(e.watchProgress)
 	serve(func() error { return e.rpc.Serve(e.rpcLis) })
 	serve(func() error { return e.caller.Serve(e.callerLis) })
 	serve(func() error { return e.oper.Serve(e.operLis) })
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
 	"github.com/cardamomturn/cardamomturn/internal/event"
@@ -14,10 +13,6 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// retainWindows is the number of windows for which lost members and
-// submissions are remembered.
-const retainWindows = dispatch.DefaultRetainWindows
-
 // peerState is what the core knows of another entry incarnation.
 type peerState struct {
 	client    *rpcnet.Client
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -121,6 +121,12 @@
 	return nil
 }
 
+// Work tells how the work at this instance fares.
+func (s service) Work(_ *wire.WorkRequest, reply *wire.WorkReply) error {
+	reply.Classes = s.e.ownWork()
+	return nil
+}
+
 // PullAllocation returns the limit allocation.
 func (s service) PullAllocation(_ *wire.PullRequest, reply *wire.PullAllocationReply) error {
 	var a *escrow.Allocation
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -42,6 +42,11 @@
 		Meaning: "The process started and has found no document; it accepts no work.",
 		Action:  "Apply a configuration, or restore the contact to the store or peers.",
 	}
+	ConfigStore = &Event{
+		Number: 3009, Severity: Warning, Name: "configuration controller",
+		Meaning: "The configuration controller met a fault of the store or of a document and goes on.",
+		Action:  "See the detail; check the platform's store if it repeats.",
+	}
 )
 
-var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigRestored, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigMissing}
+var configEvents = []*Event{ConfigStore, ConfigInForce, ConfigRejected, ConfigPulled, ConfigRestored, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigMissing}
--- a/internal/event/limits.go
+++ b/internal/event/limits.go
@@ -32,6 +32,11 @@
 		Meaning: "An edit would lower a limit and does not carry allowDecrease=true.",
 		Action:  "The operator repeats the edit with the flag if the decrease is meant.",
 	}
+	LimitStore = &Event{
+		Number: 5007, Severity: Warning, Name: "limits controller",
+		Meaning: "The limit allocation could not be read or written; shares stay valid and move between peers.",
+		Action:  "Check the platform's store if it repeats.",
+	}
 )
 
-var limitEvents = []*Event{LimitRaised, LimitLowering, LimitLowered, ShareReclaimed, ShareHeld, DecreaseRefused}
+var limitEvents = []*Event{LimitStore, LimitRaised, LimitLowering, LimitLowered, ShareReclaimed, ShareHeld, DecreaseRefused}
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -52,6 +52,11 @@
 		Meaning: "One process was lost while others of its rack and zone live.",
 		Action:  "Replace the instance if the platform does not.",
 	}
+	MembershipStore = &Event{
+		Number: 4011, Severity: Warning, Name: "membership controller",
+		Meaning: "The registration in the store could not be renewed; processes find each other without it.",
+		Action:  "Check the platform's store if it repeats.",
+	}
 )
 
-var membershipEvents = []*Event{ProcessLost, PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached}
+var membershipEvents = []*Event{MembershipStore, ProcessLost, PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached}
--- a/internal/metrics/class.go
+++ b/internal/metrics/class.go
@@ -125,17 +125,24 @@
 func (h *Histogram) Summary() resource.Histogram {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := resource.Histogram{Max: h.max, Buckets: append([]int64(nil), h.buckets...)}
-	for _, n := range h.buckets {
+	return Summarize(append([]int64(nil), h.buckets...), h.sum, h.max)
+}
+
+// Summarize returns the summary of bucket counts over the bounds of
+// resource.BucketsMs, with the sum and the largest of the values in
+// milliseconds.
+func Summarize(buckets []int64, sum, max float64) resource.Histogram {
+	s := resource.Histogram{Max: max, Buckets: buckets}
+	for _, n := range buckets {
 		s.Count += n
 	}
 	if s.Count == 0 {
 		return resource.Histogram{}
 	}
-	s.Mean = h.sum / float64(s.Count)
-	s.P50 = Quantile(s.Buckets, h.max, 0.50)
-	s.P90 = Quantile(s.Buckets, h.max, 0.90)
-	s.P99 = Quantile(s.Buckets, h.max, 0.99)
+	s.Mean = sum / float64(s.Count)
+	s.P50 = Quantile(buckets, max, 0.50)
+	s.P90 = Quantile(buckets, max, 0.90)
+	s.P99 = Quantile(buckets, max, 0.99)
 	return s
 }
 
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,92 @@
+// Package node assembles the processes: an entry instance with its
+// controllers and its Resource API, a sidecar, and all roles in one process.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/controller"
+	"github.com/cardamomturn/cardamomturn/internal/entry"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/resourceapi"
+	"github.com/cardamomturn/cardamomturn/internal/store"
+)
+
+// Entry is an entry instance with its controllers.
+type Entry struct {
+	*entry.Entry
+	// Config keeps the configuration of the process.
+	Config *controller.Config
+
+	api        *resourceapi.API
+	limits     *controller.Limits
+	membership *controller.Membership
+	cancel     context.CancelFunc
+	ctx        context.Context
+}
+
+// NewEntry opens the ports of an entry instance. The metrics may be nil.
+func NewEntry(cfg entry.Config, st store.Store, m *metrics.Registry) (*Entry, error) {
+	n := &Entry{}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.Config = controller.NewConfig(controller.ConfigOptions{
+		Store: st, Clock: clock.Real{}, Rand: newRand(), Log: logTo(event.ConfigStore),
+	})
+	status := &lateStatus{}
+	n.api = resourceapi.New(resourceapi.Options{Config: n.Config, Status: status, Clock: clock.Real{}})
+	e, err := entry.New(cfg, entry.Deps{
+		Configuration: n.Config,
+		Metrics:       m,
+		Operator:      func(r *router.Router) { n.api.Register(r) },
+		StatusChanged: n.api.StatusChanged,
+	})
+	if err != nil {
+		n.cancel()
+		return nil, err
+	}
+	status.Entry = e
+	n.Entry = e
+	n.limits = controller.NewLimits(st, e, clock.Real{}, newRand(), logTo(event.LimitStore))
+	n.membership = controller.NewMembership(st, e, clock.Real{}, newRand(), logTo(event.MembershipStore))
+	return n, nil
+}
+
+// lateStatus is set before the ports are served.
+type lateStatus struct{ *entry.Entry }
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (n *Entry) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context){n.Config.Run, n.limits.Run, n.membership.Run} {
+		wg.Go(func() { run(n.ctx) })
+	}
+	err := n.Entry.Run(ctx)
+	n.api.Close()
+	n.cancel()
+	wg.Wait()
+	return errors.Trace(err)
+}
+
+// Kill ends the process at once, as a crash would. Run returns.
+func (n *Entry) Kill() {
+	n.cancel()
+	n.Entry.Kill()
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// logTo returns a log function that writes one numbered event.
+func logTo(ev *event.Event) controller.Logf {
+	return func(format string, args ...any) {
+		event.To(klog.Background(), ev, "detail", fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/internal/node/sidecar.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"fmt"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/sidecar"
+)
+
+// sidecarEvents maps the names that the sidecar logs under to events.
+var sidecarEvents = map[string]*event.Event{
+	"backend-announced":   event.BackendAnnounced,
+	"backend-left":        event.BackendLeaving,
+	"backend-lease-ended": event.BackendLeaseExpired,
+	"backend-unreachable": event.BackendRefused,
+	"config-rejected":     event.ConfigRejected,
+	"config-in-force":     event.ConfigInForce,
+	"entry-silent":        event.PeerLost,
+	"entry-attached":      event.EntryChosen,
+	"entry-unreachable":   event.RPCLost,
+	"owner-fenced":        event.OwnerFenced,
+	"results-dropped":     event.SidecarDrainTimeout,
+	"draining":            event.SidecarDraining,
+	"bad-frame":           event.RPCFrameRejected,
+	"drain-incomplete":    event.SidecarDrainTimeout,
+}
+
+// NewSidecar opens the ports of a sidecar.
+func NewSidecar(cfg sidecar.Config, _ *metrics.Registry) (*sidecar.Sidecar, error) {
+	return sidecar.New(cfg, sidecar.Deps{Log: logSidecar, Validate: resource.Decode})
+}
+
+func logSidecar(name string, format string, args ...any) {
+	ev := sidecarEvents[name]
+	if ev == nil {
+		ev = event.ProgramFailed
+	}
+	event.To(klog.Background(), ev, "detail", fmt.Sprintf(format, args...))
+}
--- a/internal/standalone/sample.go
+++ b/internal/standalone/sample.go
@@ -51,9 +51,9 @@
 }
 
 // Payload is the payload of a sample task. The sample backend server sleeps
-// and returns the payload.
+// and returns the echo.
 type Payload struct {
-	Task    int `json:"task"`
+	Echo    int `json:"echo"`
 	SleepMs int `json:"sleepMs"`
 }
 
@@ -93,11 +93,12 @@
 	}
 	applied := make([]ctl.Envelope, 0, len(all))
 	for len(applied) < len(all) {
-		e, err := client.Apply(all[len(applied)], false)
+		// The sample's own limits are new and so lower what was unlimited.
+		e, err := client.Apply(all[len(applied)], true)
 		switch {
 		case err == nil:
 			applied = append(applied, e)
-		case ctx.Err() != nil || time.Now().After(until):
+		case !ctl.Unavailable(err) || ctx.Err() != nil || time.Now().After(until):
 			return errors.Annotatef(err, "applying %s/%s", all[len(applied)].Type, all[len(applied)].Metadata.Name)
 		default:
 			time.Sleep(retryInterval)
@@ -138,7 +139,7 @@
 	}
 	req := &jobapi.JobRequest{SubmissionID: id, Team: Team, Kind: Kind, Tasks: make([]jobapi.TaskRequest, tasks)}
 	for i := range req.Tasks {
-		if req.Tasks[i].Payload, err = json.Marshal(Payload{Task: i, SleepMs: o.RunMs}); err != nil {
+		if req.Tasks[i].Payload, err = json.Marshal(Payload{Echo: i, SleepMs: o.RunMs}); err != nil {
 			return nil, 0, errors.Annotate(err, "encoding payload")
 		}
 	}
@@ -168,8 +169,8 @@
 		if t.State != jobapi.TaskCompleted {
 			return errors.NotValidf("state %s of task %d (%s)", t.State, i, t.Error)
 		}
-		got := Payload{Task: -1}
-		if err := json.Unmarshal(t.Result, &got); err != nil || got.Task != i {
+		got := Payload{Echo: -1}
+		if err := json.Unmarshal(t.Result, &got); err != nil || got.Echo != i {
 			return errors.NotValidf("result %.200s of task %d", t.Result, i)
 		}
 	}
--- a/internal/standalone/sample_test.go
+++ b/internal/standalone/sample_test.go
@@ -26,7 +26,7 @@
 // Guards against a sample that reports success for a partial or mixed answer.
 func TestCheckFindsWrongAnswers(t *testing.T) {
 	req := &jobapi.JobRequest{SubmissionID: "e.1.2.x", Tasks: []jobapi.TaskRequest{
-		{Payload: []byte(`{"task":0}`)}, {Payload: []byte(`{"task":1}`)},
+		{Payload: []byte(`{"echo":0}`)}, {Payload: []byte(`{"echo":1}`)},
 	}}
 	if err := Check(req, answerTo(req)); err != nil {
 		t.Fatal(err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -397,3 +397,26 @@
 
 // DrainReply acknowledges a DrainRequest.
 type DrainReply struct{}
+
+// WorkRequest asks an entry instance how its work fares.
+type WorkRequest struct{}
+
+// ClassWork is how the work of one class fares at one entry instance.
+type ClassWork struct {
+	Class     Class            `msgpack:"c"`
+	Queued    int64            `msgpack:"q"`
+	Running   int64            `msgpack:"r"`
+	Completed int64            `msgpack:"d"`
+	Failed    int64            `msgpack:"f"`
+	Refused   map[string]int64 `msgpack:"x,omitempty"`
+	// Buckets are the response times, see resource.BucketsMs; SumMs is their
+	// sum and MaxMs the largest, in milliseconds.
+	Buckets []int64 `msgpack:"b,omitempty"`
+	SumMs   float64 `msgpack:"s,omitempty"`
+	MaxMs   float64 `msgpack:"m,omitempty"`
+}
+
+// WorkReply answers a WorkRequest.
+type WorkReply struct {
+	Classes []ClassWork `msgpack:"c,omitempty"`
+}
