Test that a watch of a dead client ends

Cause: heartbeats exist so that dead clients are noticed; nothing checked it. Change: a test that closes the connection and waits for the watch to end. Run: go test -race -count=10 ./internal/resourceapi (ok).

--- a/internal/resourceapi/api_test.go
+++ b/internal/resourceapi/api_test.go
@@ -240,6 +240,27 @@
 	f.do("GET", "teams?watch=true&since=x", "", 400)
 }
 
+// Guards against watches of dead clients that stay open for ever.
+func TestDeadClient(t *testing.T) {
+	f := start(t)
+	resp, err := http.Get(f.url + "teams?watch=true")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(f.api.watches) != 1 {
+		t.Fatalf("%d open watches, want 1", len(f.api.watches))
+	}
+	if err := resp.Body.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(20 * time.Second); len(f.api.watches) > 0; time.Sleep(time.Millisecond) {
+		f.clock.Advance(DefaultHeartbeat)
+		if time.Now().After(end) {
+			t.Fatal("the watch of a closed connection is still open")
+		}
+	}
+}
+
 // Guards against a resumed watch that skips forgotten changes without a word, and
 // against an event that lets a client continue in the middle of a revision.
 func TestEventLog(t *testing.T) {
