limits: allocate at once after a change, and count it in the status

Cause: the first job of the sample was refused with queueFull: the share of a new limit was allocated up to 250 ms after the configuration was reported in force. Change: the limits controller is kicked by a new document, and a process counts as having a revision in force only when its limits are allocated.

--- a/internal/controller/limits_controller.go
+++ b/internal/controller/limits_controller.go
@@ -44,11 +44,20 @@
 	// means that there is none. They belong to Run.
 	held    *escrow.Allocation
 	version uint64
+	kick    chan struct{}
 }
 
 // NewLimits returns a controller; Run works.
 func NewLimits(s store.Store, shares Shares, c clock.Clock, rnd *rand.Rand, log Logf) *Limits {
-	return &Limits{store: s, shares: shares, clock: c, rnd: rnd, log: log}
+	return &Limits{store: s, shares: shares, clock: c, rnd: rnd, log: log, kick: make(chan struct{}, 1)}
+}
+
+// Kick asks for a check now, because the configuration changed.
+func (l *Limits) Kick() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
 }
 
 // Run reconciles until ctx ends. A failed call is repeated with backoff.
@@ -73,8 +82,10 @@
 		} else {
 			b.reset()
 		}
-		if !sleep(ctx, l.clock, pause) {
-			return
+		select {
+		case <-ctx.Done():
+		case <-l.kick:
+		case <-l.clock.After(pause):
 		}
 	}
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -230,11 +230,7 @@
 		c.window.Store(w)
 		c.machine.SetWindow(now, w)
 	}
-	if doc := c.e.config.Document(); doc != nil && doc != c.document {
-		c.document = doc
-		c.ledger.SetDocument(doc)
-		c.machine.SetDocument(now, doc)
-	}
+	c.reload(now)
 	c.sidecars.Tick(now)
 	c.entries.Tick(now)
 	c.follow(now)
@@ -251,6 +247,32 @@
 	}
 }
 
+// reload takes a new configuration document.
+func (c *core) reload(now time.Duration) {
+	doc := c.e.config.Document()
+	if doc == nil || doc == c.document {
+		return
+	}
+	c.document = doc
+	c.ledger.SetDocument(doc)
+	c.machine.SetDocument(now, doc)
+}
+
+// inForce returns the revision in force at this process: the document's, once
+// its limits are allocated.
+func (c *core) inForce() uint64 {
+	if c.document == nil {
+		return 0
+	}
+	if len(c.ledger.Limits()) == 0 {
+		return c.document.Revision
+	}
+	if c.allocation == nil {
+		return 0
+	}
+	return min(c.document.Revision, c.allocation.Revision)
+}
+
 // checkLease suspends dispatching while fewer than half of the attached
 // sidecars have acknowledged this incarnation within the lease.
 func (c *core) checkLease(now time.Duration) {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -25,13 +25,14 @@
 	b.Flows = c.ledger.Flows()
 	if c.allocation != nil {
 		b.Allocation = c.allocation.Seq
+		b.Limits = c.allocation.Revision
 	}
 }
 
 // limitsHeard takes the limit shares of a peer's heartbeat.
 func (c *core) limitsHeard(now time.Duration, ps *peerState, b *wire.PeerBeat) {
 	from := b.Entry.Process
-	ps.dead, ps.flows = b.Dead, b.Flows
+	ps.dead, ps.flows, ps.limits = b.Dead, b.Flows, b.Limits
 	c.ledger.Receive(from, b.Given)
 	c.ledger.Give(now, from, b.Want)
 	if c.allocation == nil && b.Allocation > 0 || c.allocation != nil && b.Allocation > c.allocation.Seq {
@@ -60,6 +61,7 @@
 	e.core.call(func(time.Duration) {
 		if e.core.ledger.Apply(a) {
 			e.core.allocation = a
+			e.beats.poke()
 		}
 	})
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -25,6 +25,8 @@
 	// final limit flows with them.
 	dead  []ident.Process
 	flows []wire.ShareFlow
+	// limits is the revision whose limits the peer has allocated.
+	limits uint64
 }
 
 // view is the membership as other goroutines read it; it is replaced as a
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
 	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/resourceapi"
@@ -83,7 +84,7 @@
 	own := c.e.config.Revisions()
 	out := []resourceapi.Process{{
 		Process: v.self.Process, Role: "entry", Address: v.self.Address, Zone: v.self.Zone,
-		Known: own.Known, InForce: own.InForce, Rejected: own.Rejected, Draining: c.draining.Load(),
+		Known: own.Known, InForce: c.inForce(), Rejected: own.Rejected, Draining: c.draining.Load(),
 	}}
 	sidecars := map[wire.Peer]resourceapi.Process{}
 	for _, m := range c.entries.In(membership.Live) {
@@ -93,7 +94,7 @@
 		}
 		out = append(out, resourceapi.Process{
 			Process: m.Peer.Process, Role: "entry", Address: m.Peer.Address, Zone: m.Peer.Zone,
-			Known: ps.revisions.Known, InForce: ps.revisions.InForce, Rejected: ps.revisions.Rejected, Draining: ps.draining,
+			Known: ps.revisions.Known, InForce: ps.inForce(c.document), Rejected: ps.revisions.Rejected, Draining: ps.draining,
 		})
 		for _, r := range ps.sidecars {
 			addSidecar(sidecars, r)
@@ -112,6 +113,14 @@
 	return out
 }
 
+// inForce returns the revision in force at a peer.
+func (ps *peerState) inForce(doc *resource.Document) uint64 {
+	if doc != nil && len(escrow.Limits(doc)) > 0 {
+		return min(ps.revisions.InForce, ps.limits)
+	}
+	return ps.revisions.InForce
+}
+
 // addSidecar merges what several entry instances know of a sidecar.
 func addSidecar(all map[wire.Peer]resourceapi.Process, r wire.SidecarRef) {
 	p := all[r.Peer]
@@ -153,6 +162,9 @@
 	return e.work.of(ref)
 }
 
+// Reload takes a new configuration document now.
+func (e *Entry) Reload() { e.core.post(e.core.reload) }
+
 // Self implements controller.Members.
 func (e *Entry) Self() wire.Peer { return e.core.view.Load().self }
 
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -49,4 +49,4 @@
 	}
 )
 
-var configEvents = []*Event{ConfigStore, ConfigInForce, ConfigRejected, ConfigPulled, ConfigRestored, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigMissing}
+var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigRestored, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigMissing, ConfigStore}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -94,4 +94,4 @@
 	}
 )
 
-var entryEvents = []*Event{EntryRestarted, EntryStarted, EntryStopped, EntryDraining, EntryDrainTimeout, EntryFenced, EntryLoopGap, EntrySelfLeaseLost, EntrySelfLeaseRegained, EntryOwnerDead, EntryRecoveryDone, EntryRecoveryIncomplete, EntryDispatchUnknown, EntryWorkerEjected, EntryWorkerReadmitted, EntryRetryBudgetSpent, EntryOverload, EntryOverloadEnded}
+var entryEvents = []*Event{EntryStarted, EntryStopped, EntryDraining, EntryDrainTimeout, EntryFenced, EntryLoopGap, EntrySelfLeaseLost, EntrySelfLeaseRegained, EntryOwnerDead, EntryRecoveryDone, EntryRecoveryIncomplete, EntryDispatchUnknown, EntryWorkerEjected, EntryWorkerReadmitted, EntryRetryBudgetSpent, EntryOverload, EntryOverloadEnded, EntryRestarted}
--- a/internal/event/limits.go
+++ b/internal/event/limits.go
@@ -39,4 +39,4 @@
 	}
 )
 
-var limitEvents = []*Event{LimitStore, LimitRaised, LimitLowering, LimitLowered, ShareReclaimed, ShareHeld, DecreaseRefused}
+var limitEvents = []*Event{LimitRaised, LimitLowering, LimitLowered, ShareReclaimed, ShareHeld, DecreaseRefused, LimitStore}
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -59,4 +59,4 @@
 	}
 )
 
-var membershipEvents = []*Event{MembershipStore, ProcessLost, PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached}
+var membershipEvents = []*Event{PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached, ProcessLost, MembershipStore}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -17,6 +17,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/entry"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/resourceapi"
 	"github.com/cardamomturn/cardamomturn/internal/store"
 )
@@ -56,6 +57,10 @@
 	status.Entry = e
 	n.Entry = e
 	n.limits = controller.NewLimits(st, e, clock.Real{}, newRand(), logTo(event.LimitStore))
+	n.Config.Subscribe(func(*resource.Document) {
+		e.Reload()
+		n.limits.Kick()
+	})
 	n.membership = controller.NewMembership(st, e, clock.Real{}, newRand(), logTo(event.MembershipStore))
 	return n, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -369,6 +369,8 @@
 	Want    []ShareDemand   `msgpack:"m,omitempty"`
 	// Allocation is the sequence number of the limit allocation held.
 	Allocation uint64 `msgpack:"o,omitempty"`
+	// Limits is the configuration revision of that allocation.
+	Limits uint64 `msgpack:"t,omitempty"`
 	// Flows are the final flows with incarnations in Dead.
 	Flows    []ShareFlow `msgpack:"f,omitempty"`
 	Draining bool        `msgpack:"r,omitempty"`
