--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -110,7 +110,9 @@
 }
 
 // New opens the listener and starts to serve; call Announce next, or Run.
-func New(cfg Config) (*Backend, error) {
+func New(cfg Config) (*Backend, error) { return newBackend(cfg, nil) }
+
+func newBackend(cfg Config, handler fasthttp.RequestHandler) (*Backend, error) {
 	if cfg.Address == "" {
 		cfg.Address = "127.0.0.1:0"
 	}
@@ -129,12 +131,21 @@
 	}
 	b := &Backend{cfg: cfg, lis: lis, stop: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 	b.faults.Store(&Faults{})
-	b.srv = &fasthttp.Server{Name: "cardamomturn-backend", Handler: b.handle, MaxRequestBodySize: maxBody,
+	if handler == nil {
+		handler = b.handle
+	}
+	b.srv = &fasthttp.Server{Name: "cardamomturn-backend", Handler: handler, MaxRequestBodySize: maxBody,
 		CloseOnShutdown: true, ConnState: b.track, Logger: quiet{}}
 	go b.srv.Serve(lis)
 	return b, nil
 }
 
+// NewRaw returns a backend server with a handler of its own, for tests of
+// unusual responses.
+func NewRaw(name, sidecarAddress string, handler fasthttp.RequestHandler) (*Backend, error) {
+	return newBackend(Config{Name: name, Service: "raw", SidecarAddress: sidecarAddress, Lease: time.Minute}, handler)
+}
+
 // quiet drops the messages of fasthttp about broken connections.
 type quiet struct{}
 
--- a/internal/sidecar/fake_test.go
+++ b/internal/sidecar/fake_test.go
@@ -163,7 +163,11 @@
 
 func newWorld(t *testing.T, hook func(backend.Event), entries ...*fakeEntry) *world {
 	t.Helper()
-	cfg := sidecar.Config{Instance: "sidecar-1", CreditTTL: time.Hour, ReadTimeout: time.Second}
+	return newWorldOf(t, sidecar.Config{Instance: "sidecar-1", CreditTTL: time.Hour, ReadTimeout: time.Second}, hook, entries...)
+}
+
+func newWorldOf(t *testing.T, cfg sidecar.Config, hook func(backend.Event), entries ...*fakeEntry) *world {
+	t.Helper()
 	for _, e := range entries {
 		cfg.EntryAddresses = append(cfg.EntryAddresses, e.peer.Address)
 	}
--- a/internal/sidecar/links_test.go
+++ b/internal/sidecar/links_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/sidecar"
@@ -27,6 +28,37 @@
 	b.wait("all credits", func() bool { return b.lastBeat.Held == 4 && b.lastBeat.Foreign == 0 })
 }
 
+// TestUnwantedEntry guards against a sidecar that stays attached to more entry
+// instances than it should, or that leaves one without telling it.
+func TestUnwantedEntry(t *testing.T) {
+	a, b := newEntry(t, "entry-a"), newEntry(t, "entry-b")
+	a.others, b.others = []wire.Peer{b.peer}, []wire.Peer{a.peer}
+	w := newWorldOf(t, sidecar.Config{Instance: "sidecar-1", Attachments: 1, JoinDelay: time.Millisecond, CreditTTL: time.Hour}, nil, a, b)
+	state := func() (st sidecar.State) {
+		resp, err := http.Get("http://" + w.sidecar.OperatorAddr() + "/v1/state")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
+			t.Fatal(err)
+		}
+		return st
+	}
+	var st sidecar.State
+	for limit := time.Now().Add(waitLimit); len(st.Entries) != 1 || st.Entries[0].Credits != 4; st = state() {
+		if time.Now().After(limit) {
+			t.Fatalf("links %+v", st.Entries)
+		}
+	}
+	chosen, other := a, b
+	if st.Entries[0].Process == b.peer.Process {
+		chosen, other = b, a
+	}
+	chosen.wait("credits", func() bool { return chosen.lastBeat.Held == 4 && !chosen.lastBeat.Leaving })
+	other.wait("leaving beat", func() bool { return other.lastBeat.Leaving || other.attaches == 0 })
+}
+
 // TestEntryRestarts guards against a sidecar that goes on with the old
 // incarnation of an entry instance, or that gives it results of the old one.
 func TestEntryRestarts(t *testing.T) {
