--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -93,7 +93,7 @@
 		return
 	}
 	s.m.Returned(now, req.Entry, req.Returned)
-	s.m.Demand(now, req.Entry, req.Demand)
+	s.demand(now, req.Entry, req.Demand)
 	reply.Grants = s.m.Grants(now, req.Entry)
 }
 
--- a/internal/sidecar/fake_test.go
+++ b/internal/sidecar/fake_test.go
@@ -129,11 +129,12 @@
 	return nil
 }
 
-func (v *fakeService) Results(req *wire.ResultsRequest, _ *wire.ResultsReply) error {
+func (v *fakeService) Results(req *wire.ResultsRequest, reply *wire.ResultsReply) error {
 	f := (*fakeEntry)(v)
 	var err error
 	f.update(func() {
 		f.results = append(f.results, req.Results...)
+		reply.Demand = f.demand
 		f.grants = append(f.grants, req.Grants...)
 		if f.failResults > 0 {
 			f.failResults--
@@ -163,7 +164,11 @@
 
 func newWorld(t *testing.T, hook func(backend.Event), entries ...*fakeEntry) *world {
 	t.Helper()
-	cfg := sidecar.Config{Instance: "sidecar-1", CreditTTL: time.Hour, ReadTimeout: time.Second}
+	return newWorldOf(t, sidecar.Config{Instance: "sidecar-1", CreditTTL: time.Hour, ReadTimeout: time.Second}, hook, entries...)
+}
+
+func newWorldOf(t *testing.T, cfg sidecar.Config, hook func(backend.Event), entries ...*fakeEntry) *world {
+	t.Helper()
 	for _, e := range entries {
 		cfg.EntryAddresses = append(cfg.EntryAddresses, e.peer.Address)
 	}
@@ -199,6 +204,7 @@
 	w.t.Helper()
 	req := &wire.DispatchRequest{Entry: e.peer.Process, Sidecar: w.sidecar.Process(), Starts: []wire.Start{{
 		Credit: credit, Task: wire.TaskKey{Submission: sub}, Class: demoClass, Payload: []byte(payload), DeadlineMs: 60000}}}
+	e.update(func() { req.Demand = e.demand })
 	var reply wire.DispatchReply
 	if err := w.client.Call(context.Background(), "Sidecar.Dispatch", req, &reply); err != nil {
 		w.t.Fatal(err)
--- a/internal/sidecar/results.go
+++ b/internal/sidecar/results.go
@@ -60,7 +60,7 @@
 		if len(b.queue) == 0 {
 			delete(s.outboxes, b.owner)
 		}
-		s.m.Demand(now, b.owner, reply.Demand)
+		s.demand(now, b.owner, reply.Demand)
 	})
 }
 
@@ -74,7 +74,7 @@
 // reached for long. The ledger still has them.
 func (s *Sidecar) dropResults(now time.Duration) {
 	for owner, b := range s.outboxes {
-		if len(b.inFlight) > 0 || now-b.since < s.cfg.ResultWait && !s.replaced(owner) {
+		if len(b.inFlight) > 0 || now-b.since < s.resultWait() && !s.replaced(owner) && !s.m.Fenced(owner) {
 			continue
 		}
 		s.deps.Log("results-dropped", "%d results for %s are not delivered", len(b.queue), owner)
@@ -83,6 +83,15 @@
 	}
 }
 
+// resultWait is how long results wait for an owner that can't be reached. A
+// sidecar that shuts down waits only as long as a live owner may be silent.
+func (s *Sidecar) resultWait() time.Duration {
+	if s.closing {
+		return min(s.cfg.ResultWait, s.cfg.SilentAfter)
+	}
+	return s.cfg.ResultWait
+}
+
 // replaced reports whether another incarnation of the owner has answered.
 func (s *Sidecar) replaced(owner ident.Process) bool {
 	for _, l := range s.links {
