--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -193,6 +193,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Until(end)+time.Second)
 	defer cancel()
 	err := e.caller.ShutdownWithContext(ctx)
+	e.handOver(ctx)
 	e.Kill()
 	e.log(event.EntryStopped, "instance", e.cfg.Instance)
 	return errors.Annotate(err, "shut down the caller port")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -37,7 +37,7 @@
 }
 
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	entries  []*Entry
 	sidecars []*sidecar.Sidecar
 	backends []*backend.Backend
@@ -193,7 +193,7 @@
 	}
 }
 
-func awaitPeers(t *testing.T, entries ...*Entry) {
+func awaitPeers(t testing.TB, entries ...*Entry) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		ok := true
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -192,12 +192,19 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
-// giveAway gives idle limit shares to a peer, because this instance drains.
-func (c *core) giveAway(now time.Duration) {
-	for _, m := range c.entries.In(membership.Live) {
-		if ps := c.peers[m.Peer.Process]; ps != nil && !ps.draining {
-			c.ledger.GiveAll(now, m.Peer.Process)
-			c.e.beats.poke()
+// handOver gives the idle limit shares to a live peer before this instance
+// stops, so that they need not be reclaimed.
+func (e *Entry) handOver(ctx context.Context) {
+	v := e.core.view.Load()
+	for p, client := range v.peers {
+		draining := true
+		e.core.call(func(now time.Duration) {
+			if ps := e.core.peers[p]; ps != nil && !ps.draining {
+				draining = false
+				e.core.ledger.GiveAll(now, p)
+			}
+		})
+		if !draining && e.tellPeer(ctx, p, client) {
 			return
 		}
 	}
