Test that a sidecar never goes back to an older document

Cause: planted faults in the service filter, in the revision check and in the refusal of a start before its result "not run" is acknowledged passed the tests. Change: tests that fail on each of the three. Run: go test -race -count=5 ./internal/sidecar, pass; each planted fault on a scratch copy now fails a test.

--- a/internal/sidecar/entries_test.go
+++ b/internal/sidecar/entries_test.go
@@ -43,3 +43,26 @@
 		}
 	}
 }
+
+// TestNeverBack guards against an older document replacing a newer one when a
+// peer answers a pull with it.
+func TestNeverBack(t *testing.T) {
+	c := &configCopy{}
+	for _, r := range []wire.PullReply{
+		{Revision: 5, Document: []byte(`{"revision":5}`)},
+		{Revision: 4, Document: []byte(`{"revision":4}`)},
+		{Revision: 6, Document: []byte(`{"revision":3}`)},
+		{Revision: 7, Document: []byte(`no JSON`)},
+	} {
+		if _, ok := c.begin(wire.Revisions{InForce: 9}); !ok {
+			t.Fatal("no pull from a peer with a newer revision")
+		}
+		doc, err := c.end(&r, parseDocument)
+		if (doc != nil) != (r.Revision == 5) || (err != nil) != (r.Revision > 5) {
+			t.Fatalf("revision %d: document %v, %v", r.Revision, doc, err)
+		}
+	}
+	if got := c.revisions(); got != (wire.Revisions{Known: 7, InForce: 5, Rejected: 7}) {
+		t.Fatalf("revisions %+v", got)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/backend"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
@@ -121,22 +123,27 @@
 	e := newEntry(t, "entry-1")
 	w := newWorld(t, nil, e)
 	w.backend.SetFaults(backend.Faults{NotRun: true})
+	e.update(func() { e.failResults = math.MaxInt })
 	w.dispatch(e, e.take(), e.submission("a"), `{}`)
-	e.wait("result", func() bool { return len(e.results) == 1 && e.results[0].State == jobapi.TaskNotRun })
+	e.wait("result", func() bool { return len(e.results) > 0 && e.results[0].State == jobapi.TaskNotRun })
 	w.backend.SetFaults(backend.Faults{})
-	// The acknowledgement arrives a moment after the result.
-	for n := 0; ; n++ {
+	if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code != wire.RefusedCredit {
+		t.Fatalf("second start before the acknowledgement of the first: code %d", code)
+	}
+	e.update(func() { e.failResults = 0 })
+	for limit := time.Now().Add(waitLimit); ; {
 		if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code == wire.Accepted {
 			break
-		} else if code != wire.RefusedCredit || n > 1000 {
+		} else if code != wire.RefusedCredit || time.Now().After(limit) {
 			t.Fatalf("second start: code %d", code)
 		}
 	}
-	e.wait("second result", func() bool { return len(e.results) == 2 && e.results[1].State == jobapi.TaskCompleted })
+	e.wait("second result", func() bool { return e.results[len(e.results)-1].State == jobapi.TaskCompleted })
+	e.update(func() { e.results = nil })
 	w.backend.Kill()
 	w.dispatch(e, e.take(), e.submission("b"), `{}`)
-	e.wait("result of a dead backend server", func() bool { return len(e.results) == 3 })
-	if r := e.results[2]; r.State != jobapi.TaskNotRun {
+	e.wait("result of a dead backend server", func() bool { return len(e.results) == 1 })
+	if r := e.results[0]; r.State != jobapi.TaskNotRun {
 		t.Fatalf("result of a dead backend server: %+v", r)
 	}
 	e.wait("leaving beat", func() bool { return e.lastBeat.Leaving })
@@ -183,7 +190,7 @@
 		t.Fatalf("served revision %d: %s", reply.Revision, reply.Document)
 	}
 	e.update(func() {
-		e.demand = []wire.Demand{{Class: demoClass, Waiting: 3}, {Class: wire.Class{Kind: "ours"}, Waiting: 1}}
+		e.demand = []wire.Demand{{Class: demoClass, Waiting: 9, Rank: 9, Weight: 8}, {Class: wire.Class{Kind: "ours"}, Waiting: 1}}
 	})
 	w.dispatch(e, e.take(), e.submission("d"), `{}`)
 	e.wait("grant for our kind", func() bool {
