rpcnet: allow another way to connect; entry, sidecar: allow a pause

Cause: the experiments run the real runtimes with delays between zones, cuts and pauses, and a refused connection must still be seen as refused. Change: the runtimes take a dial function, and their core loops can be held.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -63,7 +63,7 @@
 }
 
 func (b *beats) loop(addr string, poked <-chan struct{}) {
-	client := rpcnet.NewClient(addr)
+	client := rpcnet.NewClientWith(addr, b.c.e.cfg.Dial)
 	defer client.Close()
 	var have uint64
 	var last ident.Process
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/fasthttp/router"
 
@@ -51,6 +52,8 @@
 	ReadTimeout time.Duration
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
+	// Dial opens the connections to other processes; nil selects TCP.
+	Dial rpcnet.DialFunc
 	// Seed of the random source; zero selects a random one.
 	Seed uint64
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -210,6 +210,19 @@
 	return n
 }
 
+// Pause holds the core loop until the returned function is called, as a
+// pause of the whole process would. It is meant for tests.
+func (e *Entry) Pause() (resume func()) {
+	gate := make(chan struct{})
+	e.core.post(func(time.Duration) {
+		select {
+		case <-gate:
+		case <-e.ctx.Done():
+		}
+	})
+	return sync.OnceFunc(func() { close(gate) })
+}
+
 // Kill stops at once without answering anything, as a crash would.
 func (e *Entry) Kill() {
 	e.cancel()
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -41,7 +41,7 @@
 }
 
 func newLink(c *core, p wire.Peer) *link {
-	l := &link{c: c, owner: *c.self.Load(), sidecar: p.Process, client: rpcnet.NewClient(p.Address)}
+	l := &link{c: c, owner: *c.self.Load(), sidecar: p.Process, client: rpcnet.NewClientWith(p.Address, c.e.cfg.Dial)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
 }
--- a/internal/rpcnet/client.go
+++ b/internal/rpcnet/client.go
@@ -44,10 +44,19 @@
 // DialTimeout bounds the time to connect.
 const DialTimeout = 2 * time.Second
 
+// DialFunc opens a connection to an "ip:port".
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: DialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // Client calls one peer over one connection, which it opens on demand and
 // again after a loss. It is safe for concurrent use.
 type Client struct {
 	addr string
+	dial DialFunc
 	// sent and received count bytes on the wire.
 	sent, received atomic.Int64
 
@@ -58,7 +67,15 @@
 }
 
 // NewClient returns a client of the peer at addr; it does not connect yet.
-func NewClient(addr string) *Client { return &Client{addr: addr} }
+func NewClient(addr string) *Client { return NewClientWith(addr, nil) }
+
+// NewClientWith returns a client that connects with dial; nil selects TCP.
+func NewClientWith(addr string, dial DialFunc) *Client {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &Client{addr: addr, dial: dial}
+}
 
 // Addr returns the peer's address.
 func (c *Client) Addr() string { return c.addr }
@@ -106,8 +123,7 @@
 	if cl, err := c.current(); cl != nil || err != nil {
 		return cl, err
 	}
-	d := net.Dialer{Timeout: DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	conn, err := c.dial(ctx, c.addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 )
 
 // Defaults of Config.
@@ -44,6 +45,8 @@
 	// EntryAddresses are internal addresses of entry instances, or of the
 	// load balancer before them.
 	EntryAddresses []string
+	// Dial opens the connections to entry instances; nil selects TCP.
+	Dial rpcnet.DialFunc
 	// Attachments is the number of entry instances to attach to.
 	Attachments int
 	// BeatInterval is the time between heartbeats on an idle link.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -207,6 +207,19 @@
 	}
 }
 
+// Pause holds the core loop until the returned function is called, as a
+// pause of the whole process would. It is meant for tests.
+func (s *Sidecar) Pause() (resume func()) {
+	gate := make(chan struct{})
+	s.post(func() {
+		select {
+		case <-gate:
+		case <-s.stop:
+		}
+	})
+	return sync.OnceFunc(func() { close(gate) })
+}
+
 // Kill stops at once without telling anybody.
 func (s *Sidecar) Kill() {
 	s.killed.Store(true)
