experiment: run the real runtimes with delays between zones

Cause: the experiments need a cluster. Change: package live starts entry instances, sidecars and the store in one process; connections add the delay of their pair of zones and can be held. A grant voids the earlier credit of the same slot at the holder, as at the sidecar.

--- a/internal/decision/dispatch/credit.go
+++ b/internal/decision/dispatch/credit.go
@@ -22,6 +22,7 @@
 		if w.find(g.Credit) >= 0 {
 			continue
 		}
+		w.void(g.Credit.Slot())
 		w.credits = append(w.credits, credit{number: g.Credit, at: now})
 		if g.Class != (wire.Class{}) {
 			w.pool.bound = append(w.pool.bound, boundCredit{worker: w, credit: g.Credit, class: g.Class})
@@ -40,6 +41,16 @@
 	return -1
 }
 
+// void drops the credit of a slot that a new one has replaced.
+func (w *worker) void(slot int) {
+	for i := range w.credits {
+		if w.credits[i].number.Slot() == slot {
+			w.credits = append(w.credits[:i], w.credits[i+1:]...)
+			return
+		}
+	}
+}
+
 // Recall takes up to count idle credits back, the oldest first. Waiting tasks
 // that can use them are placed before.
 func (m *Machine) Recall(now time.Duration, sidecar ident.Process, count int) []wire.Credit {
--- a/internal/decision/dispatch/stats.go
+++ b/internal/decision/dispatch/stats.go
@@ -23,3 +23,12 @@
 
 // Waste returns the counts of wasted messages.
 func (m *Machine) Waste() Waste { return m.waste }
+
+// Credits returns the number of unspent credits held.
+func (m *Machine) Credits() int {
+	n := 0
+	for _, w := range m.workers {
+		n += len(w.credits)
+	}
+	return n
+}
--- a/internal/entry/sidecars.go
+++ b/internal/entry/sidecars.go
@@ -66,7 +66,7 @@
 	reply.Entry = v.self
 	reply.Window = c.window.Load()
 	reply.Revisions = c.e.config.Revisions()
-	reply.Entries = v.entries
+	reply.Entries, reply.EntriesHash = v.entries, v.entriesHash
 	reply.Dead = v.dead
 	reply.Draining = c.draining.Load()
 }
--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -15,13 +15,15 @@
 // Stats is the body of GET /v1/stats: what this entry instance has seen since
 // its start.
 type Stats struct {
-	Entry    wire.Peer            `json:"entry"`
-	Draining bool                 `json:"draining"`
-	Sidecars int                  `json:"sidecars"`
-	Peers    int                  `json:"peers"`
-	Classes  []ClassStats         `json:"classes"`
-	Waste    dispatch.Waste       `json:"waste"`
-	Times    []metrics.ClassStats `json:"times,omitempty"`
+	Entry    wire.Peer `json:"entry"`
+	Draining bool      `json:"draining"`
+	Sidecars int       `json:"sidecars"`
+	// Credits is the number of unspent credits held.
+	Credits int                  `json:"credits"`
+	Peers   int                  `json:"peers"`
+	Classes []ClassStats         `json:"classes"`
+	Waste   dispatch.Waste       `json:"waste"`
+	Times   []metrics.ClassStats `json:"times,omitempty"`
 	// InternalBytes counts the bytes that the internal port sent and received.
 	InternalBytes Bytes `json:"internalBytes"`
 }
@@ -52,6 +54,7 @@
 		s.Entry = v.self
 		s.Sidecars = len(e.core.sidecars.In(membership.Live))
 		s.Peers = len(v.peers)
+		s.Credits = e.core.machine.Credits()
 		s.Waste = e.core.machine.Waste()
 		for _, c := range e.core.machine.Stats() {
 			s.Classes = append(s.Classes, classStats(c))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -136,6 +136,9 @@
 // Process returns the sidecar incarnation.
 func (s *Sidecar) Process() ident.Process { return s.self.Process }
 
+// Revisions returns the configuration revisions of the process.
+func (s *Sidecar) Revisions() wire.Revisions { return s.config.revisions() }
+
 // LocalAddr returns the address where backend servers announce themselves.
 func (s *Sidecar) LocalAddr() string { return s.local.Addr().String() }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,8 +19,19 @@
 }
 
 // Credit is the number of a slot credit, unique within a sidecar incarnation.
+// Its upper 16 bits are the slot. A new credit for a slot voids the earlier
+// ones of the same slot.
 type Credit uint64
 
+// creditSlotShift is the position of the slot in a credit.
+const creditSlotShift = 48
+
+// NewCredit returns the credit of a slot with a sequence number below 2^48.
+func NewCredit(slot int, seq uint64) Credit { return Credit(uint64(slot)<<creditSlotShift | seq) }
+
+// Slot returns the number of the slot.
+func (c Credit) Slot() int { return int(c >> creditSlotShift) }
+
 // Grant is a credit given to an entry instance.
 type Grant struct {
 	Credit Credit `msgpack:"c"`
@@ -133,6 +144,8 @@
 	// Entries are the entry instances that the answering one knows as live,
 	// itself included.
 	Entries []Peer `msgpack:"l"`
+	// EntriesHash identifies Entries, as in BeatReply.
+	EntriesHash uint64 `msgpack:"h"`
 	// Dead are the entry incarnations declared dead.
 	Dead []ident.Process `msgpack:"d,omitempty"`
 	// Draining is true if the entry instance accepts no new jobs.
@@ -180,6 +193,9 @@
 // TaskResult is the end of a started task.
 type TaskResult struct {
 	Task TaskKey `msgpack:"t"`
+	// Credit is the credit that the task was started on. It tells a late
+	// result from that of a later start of the same task.
+	Credit Credit `msgpack:"c"`
 	// State is completed, failed, mayHaveRun, or notRun. NotRun says that the
 	// backend server provably did not start the task.
 	State jobapi.TaskState `msgpack:"s"`
--- a/test/experiment/cluster.go
+++ b/test/experiment/cluster.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"github.com/juju/errors"
-
 	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
+	"github.com/cardamomturn/cardamomturn/test/experiment/live"
 )
 
-// newCluster fails until cluster.Cluster is implemented over the runtimes.
-func newCluster(cluster.Options) (cluster.Cluster, error) {
-	return nil, errors.NotImplementedf("cluster over the entry and sidecar runtimes")
+// newCluster starts a cluster of the real runtimes.
+func newCluster(o cluster.Options) (cluster.Cluster, error) {
+	return live.New(o)
 }
--- a/test/experiment/cluster/backend.go
+++ b/test/experiment/cluster/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cardamomturn/cardamomturn/internal/sidecar/announce"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/test/experiment/history"
 )
@@ -112,7 +113,7 @@
 		return errors.NotFoundf("running %s", b.about.Name)
 	}
 	b.rec.Add(history.Event{Type: history.Leave, Process: b.about.Name})
-	err := b.post("/v1/leave", map[string]string{"name": b.about.Name})
+	err := b.post(announce.PathLeave, announce.Leave{Name: b.about.Name})
 	time.AfterFunc(bound, func() { _ = s.Close() })
 	return errors.Annotatef(err, "leave of %s", b.about.Name)
 }
@@ -129,17 +130,15 @@
 	return s
 }
 
-// announcement is the body of an announcement.
-type announcement struct {
-	wire.Backend
-	LeaseSeconds float64 `json:"leaseSeconds"`
-}
-
 func (b *BackendServer) announce(about wire.Backend, stop <-chan struct{}) {
-	body := announcement{about, announceLease.Seconds()}
+	body := announce.Announcement{
+		Name: about.Name, Address: about.Address, Service: about.Service, Zone: about.Zone, Rack: about.Rack,
+		Slots: about.Slots, Connections: about.Connections, Processors: about.Size.CPUs,
+		MemoryMB: about.Size.MemoryMB, Accelerators: about.Size.Accelerators, LeaseSeconds: announceLease.Seconds(),
+	}
 	for {
 		wait := announceEvery
-		if err := b.post("/v1/announce", body); err != nil {
+		if err := b.post(announce.PathAnnounce, body); err != nil {
 			wait /= 10
 		}
 		select {
--- /dev/null
+++ b/test/experiment/live/live.go
@@ -0,0 +1,266 @@
+// Package live runs a cluster of the real entry and sidecar runtimes in one
+// process. They talk over loopback TCP through connections that add the delays
+// between zones and that can be frozen; the store is the project's stand-in
+// behind its HTTP server.
+package live
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/controller"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/store/standin"
+	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
+)
+
+const (
+	loopback  = "127.0.0.1:0"
+	storeWait = 10 * time.Second
+	// readyTimeout bounds the start of a cluster.
+	readyTimeout = 20 * time.Second
+	readyPoll    = 5 * time.Millisecond
+	// leaveBound is how long a leaving backend server lets its tasks run.
+	leaveBound = 10 * time.Second
+)
+
+// Cluster implements cluster.Cluster.
+type Cluster struct {
+	opts     cluster.Options
+	net      *network
+	store    *standin.Store
+	server   *standin.Server
+	faults   *storeFaults
+	entries  []*entryNode
+	sidecars []*sidecarNode
+	backends []*cluster.BackendServer
+
+	mu    sync.Mutex // guards total
+	total cluster.Counters
+}
+
+// New is a cluster.Factory.
+func New(o cluster.Options) (cluster.Cluster, error) {
+	c := &Cluster{opts: o, net: newNetwork(o.Deployment), store: standin.New(clock.Real{}, storeWait)}
+	if err := c.start(); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start() error {
+	if err := c.startStore(); err != nil {
+		return err
+	}
+	d := c.opts.Deployment
+	for i := range d.Entries {
+		n, err := newEntryNode(c, i)
+		if err != nil {
+			return err
+		}
+		c.entries = append(c.entries, n)
+	}
+	for _, n := range c.entries {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	for i := range d.Workers {
+		n, err := newSidecarNode(c, i)
+		if err != nil {
+			return err
+		}
+		c.sidecars = append(c.sidecars, n)
+		if err := n.start(); err != nil {
+			return err
+		}
+		b := cluster.NewBackend(d.Backend(i), n.local, cluster.Name(cluster.Sidecar, i), c.opts.Recorder)
+		c.backends = append(c.backends, b)
+		if err := b.Start(); err != nil {
+			return err
+		}
+	}
+	return c.awaitReady()
+}
+
+// startStore serves the store and writes the document.
+func (c *Cluster) startStore() error {
+	lis, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Annotate(err, "listen for the store")
+	}
+	c.server = standin.NewServer(c.store)
+	go c.server.Serve(lis)
+	c.faults = newStoreFaults(c.store, lis.Addr().String())
+	if c.opts.Document == nil {
+		return nil
+	}
+	data, err := resource.Encode(c.opts.Document)
+	if err != nil {
+		return errors.Annotate(err, "encode the document")
+	}
+	_, err = c.store.CompareAndSwap(context.Background(), controller.ConfigKey, data, 0, 0)
+	return errors.Annotate(err, "write the document")
+}
+
+// awaitReady waits until every entry instance holds credits of every sidecar.
+func (c *Cluster) awaitReady() error {
+	end := time.Now().Add(readyTimeout)
+	for !c.ready() {
+		if time.Now().After(end) {
+			return errors.Timeoutf("start of the cluster")
+		}
+		time.Sleep(readyPoll)
+	}
+	return nil
+}
+
+func (c *Cluster) ready() bool {
+	for _, n := range c.entries {
+		if !n.ready(len(c.sidecars), len(c.entries)-1) {
+			return false
+		}
+	}
+	return true
+}
+
+// Start implements cluster.Cluster.
+func (c *Cluster) Start(r cluster.Role, i int) error {
+	switch r {
+	case cluster.Entry:
+		return c.entries[i].start()
+	case cluster.Sidecar:
+		return c.sidecars[i].start()
+	}
+	return c.backends[i].Start()
+}
+
+// Stop implements cluster.Cluster.
+func (c *Cluster) Stop(r cluster.Role, i int) error {
+	switch r {
+	case cluster.Entry:
+		return c.entries[i].stop()
+	case cluster.Sidecar:
+		return c.sidecars[i].stop()
+	}
+	return c.backends[i].Leave(leaveBound)
+}
+
+// Kill implements cluster.Cluster.
+func (c *Cluster) Kill(r cluster.Role, i int) error {
+	switch r {
+	case cluster.Entry:
+		c.entries[i].kill()
+	case cluster.Sidecar:
+		c.sidecars[i].kill()
+	default:
+		c.backends[i].Kill()
+	}
+	return nil
+}
+
+// Pause implements cluster.Cluster.
+func (c *Cluster) Pause(r cluster.Role, i int) error {
+	switch r {
+	case cluster.Entry:
+		c.entries[i].pause()
+	case cluster.Sidecar:
+		c.sidecars[i].pause()
+	default:
+		return errors.NotSupportedf("pause of a backend server")
+	}
+	return nil
+}
+
+// Resume implements cluster.Cluster.
+func (c *Cluster) Resume(r cluster.Role, i int) error {
+	switch r {
+	case cluster.Entry:
+		c.entries[i].resume()
+	case cluster.Sidecar:
+		c.sidecars[i].resume()
+	default:
+		return errors.NotSupportedf("pause of a backend server")
+	}
+	return nil
+}
+
+// CallerAddress implements cluster.Cluster.
+func (c *Cluster) CallerAddress(i int) string { return c.entries[i].callers.Address() }
+
+// OperatorAddress implements cluster.Cluster.
+func (c *Cluster) OperatorAddress(i int) string { return c.entries[i].operator }
+
+// Backend implements cluster.Cluster.
+func (c *Cluster) Backend(i int) *cluster.BackendServer { return c.backends[i] }
+
+// SetStore implements cluster.Cluster.
+func (c *Cluster) SetStore(f cluster.StoreFault) { c.faults.set(f) }
+
+// Processes implements cluster.Cluster.
+func (c *Cluster) Processes() []cluster.Process {
+	var out []cluster.Process
+	for _, n := range c.entries {
+		if p, ok := n.process(); ok {
+			out = append(out, p)
+		}
+	}
+	for _, n := range c.sidecars {
+		if p, ok := n.process(); ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Counters implements cluster.Cluster.
+func (c *Cluster) Counters() cluster.Counters {
+	c.mu.Lock()
+	sum := c.total
+	c.mu.Unlock()
+	for _, n := range c.entries {
+		sum = plus(sum, n.counters())
+	}
+	for _, n := range c.sidecars {
+		sum = plus(sum, n.counters())
+	}
+	return sum
+}
+
+// keep adds the counters of a process that ends.
+func (c *Cluster) keep(n cluster.Counters) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total = plus(c.total, n)
+}
+
+func plus(a, b cluster.Counters) cluster.Counters {
+	return cluster.Counters{Starts: a.Starts + b.Starts, Wasted: a.Wasted + b.Wasted, Control: a.Control + b.Control}
+}
+
+// Close implements cluster.Cluster.
+func (c *Cluster) Close() error {
+	for _, n := range c.entries {
+		n.resume()
+		n.kill()
+		n.callers.Close()
+	}
+	for _, n := range c.sidecars {
+		n.resume()
+		n.kill()
+	}
+	for _, b := range c.backends {
+		b.Kill()
+	}
+	c.net.close()
+	if c.server != nil {
+		return errors.Annotate(c.server.Close(), "close the store")
+	}
+	return nil
+}
--- /dev/null
+++ b/test/experiment/live/network.go
@@ -0,0 +1,69 @@
+package live
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/test/experiment/delay"
+	"github.com/cardamomturn/cardamomturn/test/experiment/load"
+)
+
+const dialTimeout = 2 * time.Second
+
+// network connects the processes with the delays between their zones.
+type network struct {
+	d load.Deployment
+
+	mu sync.Mutex // guards the fields below
+	// machine is the number of the machine behind an internal address.
+	machine map[string]int
+	gates   map[string]*delay.Gate
+}
+
+func newNetwork(d load.Deployment) *network {
+	return &network{d: d, machine: map[string]int{}, gates: map[string]*delay.Gate{}}
+}
+
+// place notes that the process at an internal address is on a machine, and
+// returns the gate of its traffic.
+func (n *network) place(addr string, machine int) *delay.Gate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.machine[addr] = machine
+	if n.gates[addr] == nil {
+		n.gates[addr] = delay.NewGate()
+	}
+	return n.gates[addr]
+}
+
+// dialer returns the dial function of a process on a machine. Its connections
+// pass its own gate and that of the process called.
+func (n *network) dialer(machine int, own *delay.Gate) rpcnet.DialFunc {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		d := net.Dialer{Timeout: dialTimeout}
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		gates := []*delay.Gate{own}
+		oneWay := n.d.ZoneDelay
+		if to, known := n.machine[addr]; known {
+			oneWay = n.d.ZoneToZone(machine, to)
+			gates = append(gates, n.gates[addr])
+		}
+		return delay.Wrap(conn, oneWay, gates...), nil
+	}
+}
+
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, g := range n.gates {
+		g.Open()
+	}
+}
