Read the jobs of the fake entry instance under its lock

The race detector reported an unsynchronized read in the tests of the callers in about half of the runs. The tests now take a copy under the lock.

Run: go test -race -count=20 of test/experiment/cluster passes; go vet, staticcheck and go test of test/... pass.

--- a/test/experiment/cluster/cluster_test.go
+++ b/test/experiment/cluster/cluster_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +48,13 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// received returns the jobs so far.
+func (f *fakeEntry) received() []jobapi.JobRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.jobs)
+}
+
 func complete(id string) *jobapi.JobAnswer {
 	return &jobapi.JobAnswer{SubmissionID: id, State: jobapi.JobComplete}
 }
@@ -61,10 +69,10 @@
 	rec := history.NewRecorder()
 	c := NewCallers([]string{first.serve(t), second.serve(t)}, rec)
 	out := c.Submit(testJob, false)
-	if !out.Complete() || len(first.jobs) != 1 || len(second.jobs) != 1 {
-		t.Fatalf("%+v after %d and %d requests", out, len(first.jobs), len(second.jobs))
+	if !out.Complete() || len(first.received()) != 1 || len(second.received()) != 1 {
+		t.Fatalf("%+v after %d and %d requests", out, len(first.received()), len(second.received()))
 	}
-	if first.jobs[0].SubmissionID != second.jobs[0].SubmissionID {
+	if first.received()[0].SubmissionID != second.received()[0].SubmissionID {
 		t.Fatal("the caller asked again under another ID")
 	}
 	types := []history.Type{history.Submit, history.Lost, history.Submit, history.Response}
@@ -86,10 +94,11 @@
 	}}
 	c := NewCallers([]string{f.serve(t)}, history.NewRecorder())
 	out := c.Submit(testJob, false)
-	if out.Answer.State != jobapi.JobFailed || len(f.jobs) != 2 {
-		t.Fatalf("%+v after %d requests", out, len(f.jobs))
+	jobs := f.received()
+	if out.Answer.State != jobapi.JobFailed || len(jobs) != 2 {
+		t.Fatalf("%+v after %d requests", out, len(jobs))
 	}
-	if f.jobs[0].SubmissionID == f.jobs[1].SubmissionID {
+	if jobs[0].SubmissionID == jobs[1].SubmissionID {
 		t.Fatal("the caller used the refused ID again")
 	}
 }
