wire: name the credit in each result

Cause: a late notRun result could be taken for that of a later start of the same task on the same sidecar; both sides had workarounds (a fence, and a wait for the acknowledgement). Change: results carry the credit, and the workarounds go.

--- a/internal/decision/dispatch/bench_test.go
+++ b/internal/decision/dispatch/bench_test.go
@@ -42,7 +42,7 @@
 			m.DispatchReply(now, d.Sidecar, d.Starts, codes[:n])
 			results = results[:0]
 			for _, s := range d.Starts {
-				results = append(results, wire.TaskResult{Task: s.Task, State: jobapi.TaskCompleted, RunMs: 10})
+				results = append(results, wire.TaskResult{Task: s.Task, Credit: s.Credit, State: jobapi.TaskCompleted, RunMs: 10})
 			}
 			m.Results(now, d.Sidecar, results)
 			m.Grant(now, d.Sidecar, grants(credit, n))
--- a/internal/decision/dispatch/credit.go
+++ b/internal/decision/dispatch/credit.go
@@ -42,7 +42,7 @@
 }
 
 // void drops the credit of a slot that a new one has replaced.
-func (w *worker) void(slot int) {
+func (w *worker) void(slot uint64) {
 	for i := range w.credits {
 		if w.credits[i].number.Slot() == slot {
 			w.credits = append(w.credits[:i], w.credits[i+1:]...)
--- a/internal/decision/dispatch/fairness_test.go
+++ b/internal/decision/dispatch/fairness_test.go
@@ -70,7 +70,7 @@
 		kind := e.start.Class.Kind
 		f.done[kind]++
 		f.busy[kind] += runTimes[kind]
-		r := wire.TaskResult{Task: e.start.Task, State: jobapi.TaskCompleted, RunMs: runTimes[kind].Milliseconds()}
+		r := wire.TaskResult{Task: e.start.Task, Credit: e.start.Credit, State: jobapi.TaskCompleted, RunMs: runTimes[kind].Milliseconds()}
 		f.m.Results(f.now, process(1), []wire.TaskResult{r})
 		f.grant(1)
 	}
--- a/internal/decision/dispatch/helper_test.go
+++ b/internal/decision/dispatch/helper_test.go
@@ -51,10 +51,11 @@
 		Backend: &wire.Backend{Name: p.Instance, Service: "s", Slots: slots}})
 }
 
+// grants returns credits of different slots.
 func grants(from, n int) []wire.Grant {
 	g := make([]wire.Grant, n)
 	for i := range g {
-		g[i].Credit = wire.Credit(from + i)
+		g[i].Credit = wire.NewCredit(uint64((from+i)%256), uint64(from+i))
 	}
 	return g
 }
@@ -80,5 +81,5 @@
 }
 
 func end(s wire.Start, state jobapi.TaskState) []wire.TaskResult {
-	return []wire.TaskResult{{Task: s.Task, State: state, RunMs: 10}}
+	return []wire.TaskResult{{Task: s.Task, Credit: s.Credit, State: state, RunMs: 10}}
 }
--- a/internal/decision/dispatch/model_test.go
+++ b/internal/decision/dispatch/model_test.go
@@ -16,7 +16,9 @@
 	credits map[wire.Credit]bool // issued and unspent
 	next    wire.Credit
 	ledger  map[wire.TaskKey]jobapi.TaskState
-	outbox  []wire.TaskResult // results sent, to be repeated at random
+	// on is the credit of the last start of a task.
+	on     map[wire.TaskKey]wire.Credit
+	outbox []wire.TaskResult // results sent, to be repeated at random
 }
 
 // sent is a message between the machine and a sidecar.
@@ -80,7 +82,7 @@
 		o.Skip("enough sidecars")
 	}
 	o.born++
-	s := &sidecar{proc: process(o.born), credits: map[wire.Credit]bool{}, ledger: map[wire.TaskKey]jobapi.TaskState{}}
+	s := &sidecar{proc: process(o.born), credits: map[wire.Credit]bool{}, ledger: map[wire.TaskKey]jobapi.TaskState{}, on: map[wire.TaskKey]wire.Credit{}}
 	o.live = append(o.live, s)
 	attach(o.m, o.now, s.proc, 4)
 }
@@ -181,6 +183,7 @@
 		default:
 			delete(d.to.credits, s.Credit)
 			d.to.ledger[s.Task] = jobapi.TaskRunning
+			d.to.on[s.Task] = s.Credit
 			o.begin(d.to, s.Task)
 		}
 		d.codes = append(d.codes, code)
@@ -207,7 +210,7 @@
 
 func (s *sidecar) finish(key wire.TaskKey, state jobapi.TaskState) {
 	s.ledger[key] = state
-	s.outbox = append(s.outbox, wire.TaskResult{Task: key, State: state, RunMs: 10})
+	s.outbox = append(s.outbox, wire.TaskResult{Task: key, Credit: s.on[key], State: state, RunMs: 10})
 }
 
 func (o *model) reply(*rapid.T) {
--- a/internal/decision/dispatch/result.go
+++ b/internal/decision/dispatch/result.go
@@ -17,18 +17,10 @@
 	for i := range results {
 		r := &results[i]
 		t := m.task(sidecar, r.Task)
-		if t == nil || !r.State.Final() {
+		if t == nil || t.credit != r.Credit || !r.State.Final() {
 			m.waste.Duplicates++
 			continue
 		}
-		if r.State == jobapi.TaskNotRun && t.avoids(sidecar) {
-			// The result may be a repetition of the earlier one; only the
-			// sidecar can tell what became of the later dispatch.
-			if t.state != fencing {
-				m.lostReply(t)
-			}
-			continue
-		}
 		m.result(t, r)
 	}
 }
--- a/internal/decision/slots/credit.go
+++ b/internal/decision/slots/credit.go
@@ -8,15 +8,6 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// slotShift places the slot number above a 48 bit sequence number in a
-// credit. Of two credits of one slot the holder drops the smaller one, which
-// is void.
-const slotShift = 48
-
-// SlotOf returns the slot number of a credit. A credit makes all earlier ones
-// of the same slot and sidecar incarnation void.
-func SlotOf(c wire.Credit) uint64 { return uint64(c) >> slotShift }
-
 // credit is an unspent credit.
 type credit struct {
 	id     wire.Credit
@@ -44,7 +35,7 @@
 
 func (m *Machine) issueSlot(now time.Duration, e *entry, cl *class, label uint64) {
 	m.seq++
-	c := &credit{id: wire.Credit(label<<slotShift | m.seq), entry: e, issued: now, class: cl}
+	c := &credit{id: wire.NewCredit(label, m.seq), entry: e, issued: now, class: cl}
 	if cl != nil {
 		cl.count++
 	}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -170,7 +170,7 @@
 		c.hc.CloseIdleConnections()
 		err = c.hc.DoTimeout(req, resp, limit)
 	}
-	result = wire.TaskResult{Task: start.Task, RunMs: time.Since(began).Milliseconds()}
+	result = wire.TaskResult{Task: start.Task, Credit: start.Credit, RunMs: time.Since(began).Milliseconds()}
 	if err != nil {
 		result.State, result.Error = c.classify(err)
 		return result, errors.Is(err, errDial)
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
-	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
@@ -99,9 +98,7 @@
 
 func (s *Sidecar) start(now time.Duration, req *wire.DispatchRequest, start wire.Start) wire.RefuseCode {
 	code := wire.RefusedCredit
-	if _, repeated := s.unacked[start.Task]; repeated {
-		s.m.Returned(now, req.Entry, []wire.Credit{start.Credit})
-	} else if req.Sidecar == s.self.Process {
+	if req.Sidecar == s.self.Process {
 		code = s.m.Start(now, req.Entry, start)
 	}
 	if code != wire.Accepted {
@@ -129,9 +126,6 @@
 		return
 	}
 	s.stats.Results.Add(1)
-	if result.State == jobapi.TaskNotRun {
-		s.unacked[result.Task] = struct{}{}
-	}
 	b := s.outboxes[owner]
 	if b == nil {
 		b = &outbox{owner: owner, since: now}
--- a/internal/sidecar/results.go
+++ b/internal/sidecar/results.go
@@ -54,7 +54,6 @@
 			return
 		}
 		s.heard(now, l)
-		s.acknowledge(b.inFlight)
 		b.inFlight = nil
 		b.since = now
 		if len(b.queue) == 0 {
@@ -64,12 +63,6 @@
 	})
 }
 
-func (s *Sidecar) acknowledge(results []wire.TaskResult) {
-	for _, r := range results {
-		delete(s.unacked, r.Task)
-	}
-}
-
 // dropResults drops the results of owners that are dead or that could not be
 // reached for long. The ledger still has them.
 func (s *Sidecar) dropResults(now time.Duration) {
@@ -78,7 +71,6 @@
 			continue
 		}
 		s.deps.Log("results-dropped", "%d results for %s are not delivered", len(b.queue), owner)
-		s.acknowledge(b.queue)
 		delete(s.outboxes, owner)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,12 +58,8 @@
 	// reconciledAt is the time of the last check of the links.
 	reconciledAt time.Duration
 	outboxes     map[ident.Process]*outbox
-	// unacked holds the tasks whose result "not run" has not been
-	// acknowledged. They must not start here again before that, because the
-	// owner could take the repeated result for that of the second start.
-	unacked map[wire.TaskKey]struct{}
-	backend backendState
-	kinds   map[string]*resource.Kind // of the configuration in force
+	backend      backendState
+	kinds        map[string]*resource.Kind // of the configuration in force
 	// draining is set by an operator, closing by Drain.
 	draining, closing bool
 	drained           chan struct{}
@@ -87,7 +83,6 @@
 		stop:     make(chan struct{}),
 		drained:  make(chan struct{}),
 		outboxes: map[ident.Process]*outbox{},
-		unacked:  map[wire.TaskKey]struct{}{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/backend"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
@@ -118,7 +117,8 @@
 }
 
 // TestNotRun guards against a task that provably did not run being reported
-// as anything else, and against the ledger refusing its next start.
+// as anything else, against the ledger refusing its next start, and against results that don't
+// tell which of the two starts they belong to.
 func TestNotRun(t *testing.T) {
 	e := newEntry(t, "entry-1")
 	w := newWorld(t, nil, e)
@@ -127,18 +127,15 @@
 	w.dispatch(e, e.take(), e.submission("a"), `{}`)
 	e.wait("result", func() bool { return len(e.results) > 0 && e.results[0].State == jobapi.TaskNotRun })
 	w.backend.SetFaults(backend.Faults{})
-	if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code != wire.RefusedCredit {
-		t.Fatalf("second start before the acknowledgement of the first: code %d", code)
+	first := e.results[0].Credit
+	if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code != wire.Accepted {
+		t.Fatalf("second start: code %d", code)
 	}
 	e.update(func() { e.failResults = 0 })
-	for limit := time.Now().Add(waitLimit); ; {
-		if code := w.dispatch(e, e.take(), e.submission("a"), `{}`); code == wire.Accepted {
-			break
-		} else if code != wire.RefusedCredit || time.Now().After(limit) {
-			t.Fatalf("second start: code %d", code)
-		}
-	}
-	e.wait("second result", func() bool { return e.results[len(e.results)-1].State == jobapi.TaskCompleted })
+	e.wait("second result", func() bool {
+		last := e.results[len(e.results)-1]
+		return last.State == jobapi.TaskCompleted && last.Credit != first
+	})
 	e.update(func() { e.results = nil })
 	w.backend.Kill()
 	w.dispatch(e, e.take(), e.submission("b"), `{}`)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -27,10 +27,10 @@
 const creditSlotShift = 48
 
 // NewCredit returns the credit of a slot with a sequence number below 2^48.
-func NewCredit(slot int, seq uint64) Credit { return Credit(uint64(slot)<<creditSlotShift | seq) }
+func NewCredit(slot, seq uint64) Credit { return Credit(slot<<creditSlotShift | seq) }
 
 // Slot returns the number of the slot.
-func (c Credit) Slot() int { return int(c >> creditSlotShift) }
+func (c Credit) Slot() uint64 { return uint64(c >> creditSlotShift) }
 
 // Grant is a credit given to an entry instance.
 type Grant struct {
--- a/test/experiment/delay/delay.go
+++ b/test/experiment/delay/delay.go
@@ -93,11 +93,17 @@
 // closeConns resets the connections; f.mu is held.
 func (f *Forwarder) closeConns() {
 	for c := range f.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
+	}
+}
+
+// reset closes a connection so that its peer sees a reset and not an end of
+// data.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
 	}
+	_ = c.Close()
 }
 
 func (f *Forwarder) accept() {
@@ -128,9 +134,12 @@
 }
 
 func (f *Forwarder) untrack(c net.Conn) {
-	_ = c.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.cut {
+		reset(c)
+	}
+	_ = c.Close()
 	delete(f.conns, c)
 }
 
@@ -166,7 +175,7 @@
 			}
 			if err != nil {
 				if !errors.Is(err, io.EOF) {
-					_ = dst.Close()
+					reset(dst)
 				}
 				return
 			}
@@ -176,7 +185,7 @@
 		time.Sleep(time.Until(c.due))
 		f.waitThawed()
 		if _, err := dst.Write(c.data); err != nil {
-			_ = src.Close()
+			reset(src)
 		}
 	}
 	if t, ok := dst.(*net.TCPConn); ok {
--- a/test/experiment/replay/sidecar.go
+++ b/test/experiment/replay/sidecar.go
@@ -18,7 +18,7 @@
 		if s.boot != boot {
 			state = jobapi.TaskMayHaveRun
 		}
-		v.finish(s, wire.TaskResult{Task: start.Task, State: state, RunMs: run.Milliseconds()})
+		v.finish(s, wire.TaskResult{Task: start.Task, Credit: start.Credit, State: state, RunMs: run.Milliseconds()})
 	})
 }
 
