--- a/internal/decision/slots/credit.go
+++ b/internal/decision/slots/credit.go
@@ -69,7 +69,7 @@
 func (m *Machine) void(now time.Duration, c *credit) {
 	m.remove(now, c)
 	m.voided++
-	m.labels = append(m.labels, SlotOf(c.id))
+	m.labels = append(m.labels, c.id.Slot())
 }
 
 func (m *Machine) voidAll(now time.Duration, e *entry) {
@@ -93,7 +93,7 @@
 				cl = nil
 			}
 			m.remove(now, c)
-			m.issueSlot(now, e, cl, SlotOf(c.id))
+			m.issueSlot(now, e, cl, c.id.Slot())
 			e.credits[len(e.credits)-1].unused = unused
 		default:
 			i++
--- a/internal/decision/slots/start.go
+++ b/internal/decision/slots/start.go
@@ -35,7 +35,7 @@
 	cl.count++
 	m.running++
 	m.owners[process]++
-	m.ledger.start(s.Task, process, cl, SlotOf(c.id))
+	m.ledger.start(s.Task, process, cl, c.id.Slot())
 	return wire.Accepted
 }
 
