--- a/internal/decision/slots/rules_test.go
+++ b/internal/decision/slots/rules_test.go
@@ -46,7 +46,7 @@
 		m.Demand(now, owner, nil)
 		m.Tick(now)
 		g := m.Grants(now, owner)
-		if len(g) != 1 || SlotOf(g[0].Credit) != last.Slot() || g[0].Credit <= last {
+		if len(g) != 1 || g[0].Credit.Slot() != last.Slot() || g[0].Credit <= last {
 			t.Fatalf("grants %v after credit %d at %v", g, last, now)
 		}
 		if code := m.Start(now, owner, wire.Start{Credit: last, Task: taskOf(owner, 0)}); code != wire.RefusedCredit {
--- a/internal/decision/slots/slots_test.go
+++ b/internal/decision/slots/slots_test.go
@@ -47,10 +47,10 @@
 	for i := range 3 {
 		p := entryPeer(i).Process
 		for _, g := range x.m.Grants(x.now, p) {
-			if old := x.credits[x.newest[SlotOf(g.Credit)]]; old != nil && old.gone == "" {
+			if old := x.credits[x.newest[g.Credit.Slot()]]; old != nil && old.gone == "" {
 				old.gone = "replaced"
 			}
-			x.newest[SlotOf(g.Credit)] = g.Credit
+			x.newest[g.Credit.Slot()] = g.Credit
 			x.credits[g.Credit] = &held{owner: p, at: x.now}
 			x.order = append(x.order, g.Credit)
 		}
