experiment: read the revision of an accepted edit; api: answer with the edit's own object

Cause: the operator of the experiments read metadata.resourceVersion at the top level of the response to a PUT, where it is absent: the body is {changeID, revision, object}. Each edit was recorded with revision 0, so the register check failed for every resource, and the time in force of every edit was about 1 us. The body of a 409 was not read at all.

The check now takes revision as the commit's revision, object.metadata as the resource's version, and current as the version of a conflict. It is stricter: a conflict has to name the version that was current, a response must not show the version of a later edit, and a response without a revision is a violation. Each has a planted history.

A fault of the system that the trace also allowed: the object in the response came from the document in force after the commit, which may hold a later edit of the same resource. An operator who based the next edit on that version would overwrite the later edit unseen. The object is now that of the commit's own document, and it is absent if a repeated change ID has been overtaken.

--- a/internal/controller/config_commit.go
+++ b/internal/controller/config_commit.go
@@ -94,7 +94,7 @@
 	var applied *revision.AppliedError
 	if errors.As(err, &applied) {
 		w.inFlight = false
-		return revision.Result{ChangeID: w.edit.ChangeID, Revision: applied.Revision}, nil
+		return revision.Result{ChangeID: w.edit.ChangeID, Revision: applied.Revision, Document: base}, nil
 	}
 	if err != nil {
 		return revision.Result{}, err
--- a/internal/decision/revision/edit.go
+++ b/internal/decision/revision/edit.go
@@ -45,6 +45,9 @@
 	Revision uint64
 	// Lowered are the amounts that the edit lowered.
 	Lowered []Lowered
+	// Document is the one of Revision, or a later one if the edit was accepted
+	// earlier under the same change ID.
+	Document *resource.Document
 }
 
 // Initial returns revision 1 of a new installation.
@@ -89,7 +92,7 @@
 	if len(lowered) > 0 && !e.AllowDecrease {
 		return nil, Result{}, &DecreaseError{Ref: e.Ref, Lowered: lowered}
 	}
-	return next, Result{ChangeID: e.ChangeID, Revision: next.Revision, Lowered: lowered}, nil
+	return next, Result{ChangeID: e.ChangeID, Revision: next.Revision, Lowered: lowered, Document: next}, nil
 }
 
 func checkVersion(base *resource.Document, e Edit) error {
--- a/internal/resourceapi/edit.go
+++ b/internal/resourceapi/edit.go
@@ -27,7 +27,8 @@
 	// Revision contains the change.
 	Revision uint64             `json:"revision"`
 	Lowered  []revision.Lowered `json:"lowered,omitempty"`
-	// Object is the resource in force; absent after a DELETE.
+	// Object is the resource as of Revision. It is absent after a DELETE, and if
+	// a repeated edit has been replaced by a later one in the meantime.
 	Object any `json:"object,omitempty"`
 }
 
@@ -83,8 +84,11 @@
 		return
 	}
 	out := Accepted{ChangeID: res.ChangeID, Revision: res.Revision, Lowered: res.Lowered}
-	if doc := a.opts.Config.Document(); doc != nil && !e.Delete {
-		out.Object = object(doc, e.Ref, a.status(doc, e.Ref))
+	// The document in force may already hold a later edit. An operator who based
+	// the next edit on its version would overwrite that edit without having
+	// seen it.
+	if meta, ok := res.Document.Metadata(e.Ref); ok && !e.Delete && meta.ResourceVersion <= res.Revision {
+		out.Object = object(res.Document, e.Ref, a.status(res.Document, e.Ref))
 	}
 	reply(rc, fasthttp.StatusOK, out)
 }
--- a/test/experiment/cluster/operator.go
+++ b/test/experiment/cluster/operator.go
@@ -51,6 +51,17 @@
 	Spec     json.RawMessage   `json:"spec,omitempty"`
 }
 
+// accepted is the body of a successful edit.
+type accepted struct {
+	Revision uint64 `json:"revision"`
+	Object   object `json:"object"`
+}
+
+// conflict is the body of an edit with another version than the current one.
+type conflict struct {
+	Current *uint64 `json:"current"`
+}
+
 // Apply sends an edit to the operator address of an entry instance and
 // returns the recorded commit. An edit that was refused as unavailable or
 // invalid is an error and not recorded, since it has no effect.
@@ -71,14 +82,22 @@
 	if e.AllowDecrease {
 		path += "?allowDecrease=true"
 	}
-	status, got, err := o.do(address, fasthttp.MethodPut, path, body)
+	status, answer, err := o.do(address, fasthttp.MethodPut, path, body)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return m, errors.Annotatef(errNoEffect, "%s at %s: %v", path, address, err)
 	case err == nil && status/100 == 2:
-		m.Outcome, m.Revision = history.Accepted, got.Metadata.ResourceVersion
+		var got accepted
+		if err := json.Unmarshal(answer, &got); err != nil || got.Revision == 0 {
+			m.Malformed = string(answer)
+		}
+		m.Outcome, m.Revision, m.Version = history.Accepted, got.Revision, got.Object.Metadata.ResourceVersion
 	case err == nil && status == fasthttp.StatusConflict:
-		m.Outcome, m.Revision = history.Conflict, got.Metadata.ResourceVersion
+		var got conflict
+		if err := json.Unmarshal(answer, &got); err != nil || got.Current == nil {
+			m.Malformed, got.Current = string(answer), new(uint64)
+		}
+		m.Outcome, m.Revision = history.Conflict, *got.Current
 	case err == nil && (status == fasthttp.StatusServiceUnavailable || status/100 == 4):
 		return m, errors.Annotatef(errNoEffect, "%s at %s: status %d", path, address, status)
 	default:
@@ -91,14 +110,19 @@
 // Version returns the current version of a resource.
 func (o *Operator) Version(address string, t resource.Type, name string) (uint64, error) {
 	path := fmt.Sprintf("/v1/%s/%s", t, name)
-	status, got, err := o.do(address, fasthttp.MethodGet, path, nil)
+	status, answer, err := o.do(address, fasthttp.MethodGet, path, nil)
 	if err == nil && status != fasthttp.StatusOK {
 		err = errors.Errorf("status %d", status)
 	}
+	var got object
+	if err == nil {
+		err = json.Unmarshal(answer, &got)
+	}
 	return got.Metadata.ResourceVersion, errors.Annotatef(err, "%s at %s", path, address)
 }
 
-func (o *Operator) do(address, method, path string, body []byte) (int, object, error) {
+// do returns the status and the body of the response.
+func (o *Operator) do(address, method, path string, body []byte) (int, []byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -106,14 +130,8 @@
 	req.SetRequestURI("http://" + address + path)
 	req.Header.SetContentType("application/json")
 	req.SetBodyRaw(body)
-	var got object
 	if err := o.client.DoTimeout(req, resp, operatorTimeout); err != nil {
-		return 0, got, errors.Trace(err)
-	}
-	if resp.StatusCode()/100 == 2 {
-		if err := json.Unmarshal(resp.Body(), &got); err != nil {
-			return 0, got, errors.Annotatef(err, "body of status %d", resp.StatusCode())
-		}
+		return 0, nil, errors.Trace(err)
 	}
-	return resp.StatusCode(), got, nil
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
--- a/test/experiment/history/check_test.go
+++ b/test/experiment/history/check_test.go
@@ -49,8 +49,8 @@
 			{At: 6 * s, Type: Observe, Process: "entry-0#1", Revision: 3},
 		},
 		Commits: []Commit{
-			{Call: 4 * s, Return: 5 * s, Resource: "limits/x", Revision: 2, Outcome: Accepted, Limit: i64(5)},
-			{Call: 5 * s, Return: 6 * s, Resource: "limits/x", Expect: 2, Revision: 3, Outcome: Accepted, Limit: i64(9)},
+			{Call: 4 * s, Return: 5 * s, Resource: "limits/x", Revision: 2, Version: 2, Outcome: Accepted, Limit: i64(5)},
+			{Call: 5 * s, Return: 6 * s, Resource: "limits/x", Expect: 2, Revision: 3, Version: 3, Outcome: Accepted, Limit: i64(9)},
 			{Call: 5 * s, Return: 7 * s, Resource: "limits/x", Expect: 2, Revision: 3, Outcome: Conflict},
 		},
 	}
@@ -109,6 +109,17 @@
 		{"edit accepted on an old version", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "limits/x", Expect: 2, Revision: 4, Limit: i64(9)})},
 		{"revision used twice", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "teams/y", Revision: 3})},
 		{"edit never in force", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "teams/y", Revision: 4})},
+		{"version that goes back", "P8", commit(Commit{Call: 7 * s, Return: 8 * s, Resource: "limits/x", Revision: 4, Version: 2, Limit: i64(9)})},
+		{"response of a later edit", "P8", func(h *History) { h.Commits[0].Version = 3 }},
+		{"response without a revision", "P8", func(h *History) { h.Commits[0].Malformed = "{}" }},
+		{"conflict with the expected version", "P8", func(h *History) { h.Commits[2].Revision = 2 }},
+		{"conflict that names an old version", "P8", func(h *History) {
+			h.Commits = append(h.Commits, Commit{Call: 8 * s, Return: 9 * s, Resource: "limits/x", Expect: 1, Revision: 2, Outcome: Conflict})
+		}},
+		{"edit that changes nothing", "", func(h *History) {
+			h.Commits = append(h.Commits, Commit{Call: 7 * s, Return: 8 * s, Resource: "limits/x", Revision: 4, Version: 3, Outcome: Accepted, Limit: i64(9)})
+			h.Events = append(h.Events, Event{At: 9 * s, Type: Observe, Process: "entry-0#1", Revision: 4})
+		}},
 		{"lowered limit", "P8", func(h *History) { h.Commits[1].Limit = i64(4) }},
 		{"allowed decrease", "", func(h *History) { h.Commits[1].Limit, h.Commits[1].AllowDecrease = i64(4), true }},
 	}
--- a/test/experiment/history/history.go
+++ b/test/experiment/history/history.go
@@ -85,7 +85,12 @@
 	// Revision is the new document revision of an accepted edit, and the
 	// current resource version of a conflict.
 	Revision uint64
-	Outcome  Outcome
+	// Version is the resource version in the response to an accepted edit;
+	// zero if the response had no object.
+	Version uint64
+	// Malformed is the body of a response that lacks a revision or version.
+	Malformed string
+	Outcome   Outcome
 	// Limit is set if the resource is a limit.
 	Limit         *int64
 	AllowDecrease bool
--- a/test/experiment/history/model.go
+++ b/test/experiment/history/model.go
@@ -21,7 +21,7 @@
 const anyRevision = math.MaxUint64
 
 // registerModel is a register of versions: accepted edits are conditional on
-// the current version and only increase it.
+// the current version and only increase it, and conflicts name it.
 func registerModel() porcupine.Model {
 	m := porcupine.NondeterministicModel{
 		Init: func() []interface{} { return []interface{}{uint64(anyRevision)} },
@@ -39,15 +39,22 @@
 		if c.Expect != 0 && !unsure && state != c.Expect {
 			return nil
 		}
-		if !unsure && c.Revision <= state {
+		version := c.Version
+		if version == 0 {
+			version = c.Revision
+		}
+		// An edit that changes nothing keeps the version.
+		kept := version == state && version < c.Revision
+		if !unsure && version <= state && !kept {
 			return nil
 		}
-		return []interface{}{c.Revision}
+		return []interface{}{version}
 	case Conflict:
-		if c.Expect != 0 && state == c.Expect {
+		// The response names the current version, which isn't the expected one.
+		if c.Revision == c.Expect || !unsure && state != c.Revision {
 			return nil
 		}
-		return []interface{}{state}
+		return []interface{}{c.Revision}
 	default:
 		return []interface{}{state, uint64(anyRevision)}
 	}
@@ -63,13 +70,20 @@
 func (c *checker) checkRegister() {
 	parts := map[string][]porcupine.Operation{}
 	for _, m := range c.h.Commits {
+		if m.Malformed != "" {
+			c.fail("P8", "the response to an edit of %s lacks a revision or version: %.200q", m.Resource, m.Malformed)
+			continue
+		}
+		if m.Outcome == Accepted && m.Version > m.Revision {
+			c.fail("P8", "the response to the edit of %s in revision %d shows that of revision %d", m.Resource, m.Revision, m.Version)
+		}
 		op := porcupine.Operation{Input: m, Call: int64(m.Call), Return: int64(m.Return)}
 		if m.Outcome == Unknown {
 			op.Return = math.MaxInt64
 		}
 		parts[m.Resource] = append(parts[m.Resource], op)
 		if m.Outcome == Accepted {
-			m.Expect = 0
+			m.Expect, m.Version = 0, 0
 			op.Input = m
 			parts[documentKey] = append(parts[documentKey], op)
 		}
--- a/test/experiment/runs/fake_test.go
+++ b/test/experiment/runs/fake_test.go
@@ -215,6 +215,7 @@
 		}
 		if want := o.Metadata.ResourceVersion; want != 0 && want != max(f.versions[name], 1) {
 			w.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(w).Encode(map[string]uint64{"current": max(f.versions[name], 1)})
 			return
 		}
 		value := *o.Spec.Amounts.Queue
@@ -227,5 +228,9 @@
 		f.versions[name] = f.revision
 	}
 	o.Metadata.ResourceVersion = max(f.versions[name], 1)
+	if r.Method == http.MethodPut {
+		_ = json.NewEncoder(w).Encode(map[string]any{"revision": f.revision, "object": o})
+		return
+	}
 	_ = json.NewEncoder(w).Encode(o)
 }
