experiment: callers submit again when nothing was submitted; longer faults

churn has five more faults: an entry instance that stays dead beyond the silence bound, two killed together, a network cut between two entry instances only, and the replacement of all entry instances and of all sidecars one after another. Callers ask about open submissions at another entry instance. waste keeps its list of faults.

store-outage has a second phase: all entry instances are replaced while the store is down, and the store comes back in an older state; the calls of the store are counted in calm operation and after the outage.

Found: cutEntries gives P2 violations; a submission that another entry instance recovers on a GET is answered as failed although all tasks completed, because the number of tasks died with the payload.

--- a/test/experiment/cluster/caller.go
+++ b/test/experiment/cluster/caller.go
@@ -87,11 +87,15 @@
 	return out
 }
 
-// passing reports whether another entry instance may accept the job.
+// passing reports whether the job may be accepted under another ID.
 func passing(r jobapi.Reason) bool {
 	switch r {
 	case jobapi.ReasonDraining, jobapi.ReasonNoConfiguration, jobapi.ReasonOwnerUnreached, jobapi.ReasonNoWorker:
 		return true
+	case jobapi.ReasonExpired:
+		// The incarnation that issued the prefix has ended; the answer's header
+		// has a new one.
+		return true
 	}
 	return false
 }
@@ -104,7 +108,7 @@
 func (c *Callers) submitOnce(a load.Arrival, idempotent bool, entry, n int) (jobapi.JobAnswer, error) {
 	prefix, err := c.prefix(entry)
 	if err != nil {
-		return jobapi.JobAnswer{}, errors.Wrap(err, errNoPrefix)
+		return jobapi.JobAnswer{}, errors.WithType(err, errNoPrefix)
 	}
 	job := jobapi.JobRequest{SubmissionID: fmt.Sprintf("%s%s-%d", prefix, a.Request, n), Team: a.Team, Kind: a.Kind}
 	for i, run := range a.Runs {
@@ -145,6 +149,27 @@
 	return jobapi.JobAnswer{}, errors.Annotatef(err, "no answer about %s", job.SubmissionID)
 }
 
+// AskElsewhere asks, for each submission that has no answer yet, the entry
+// instance after the one that it was sent to. It doesn't wait for the end of
+// the jobs.
+func (c *Callers) AskElsewhere() {
+	c.mu.Lock()
+	open := make(map[string]int, len(c.open))
+	for id, entry := range c.open {
+		open[id] = entry
+	}
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for id, entry := range open {
+		other := (entry + 1) % len(c.clients)
+		wg.Go(func() {
+			// The answer is recorded, also a lost one.
+			_, _ = c.call(other, history.Event{Type: history.Query, Submission: id}, fasthttp.MethodGet, "/v1/jobs/"+id, nil)
+		})
+	}
+	wg.Wait()
+}
+
 // CancelOpen cancels all submissions that have no answer yet.
 func (c *Callers) CancelOpen() {
 	c.mu.Lock()
--- a/test/experiment/cluster/cluster.go
+++ b/test/experiment/cluster/cluster.go
@@ -48,6 +48,10 @@
 	// directions; connections stay open. Resume ends that.
 	Pause(r Role, i int) error
 	Resume(r Role, i int) error
+	// Cut holds back the traffic between two entry instances; connections stay
+	// open. Join ends that.
+	Cut(i, j int)
+	Join(i, j int)
 	// CallerAddress is the "ip:port" of an entry instance's caller port
 	// through the client delay. It stays the same over restarts.
 	CallerAddress(i int) string
@@ -59,6 +63,10 @@
 	Processes() []Process
 	// SetStore sets the store's faults, replacing the earlier ones.
 	SetStore(f StoreFault)
+	// SaveStore keeps the store's present state; restore goes back to it.
+	SaveStore() (restore func())
+	// StoreCalls returns the calls of the store so far.
+	StoreCalls() StoreCalls
 	// Counters returns the totals over all processes since the start,
 	// including those that have ended.
 	Counters() Counters
@@ -94,6 +102,14 @@
 	LoseAnswers float64
 }
 
+// StoreCalls counts calls of the store, failed ones included.
+type StoreCalls struct {
+	// Reads include each start of a watch.
+	Reads, Writes int
+	// Watches is the number of watches pending now.
+	Watches int
+}
+
 // Counters count messages as design section 5 defines them.
 type Counters struct {
 	Starts  int64
--- a/test/experiment/cluster/cluster_test.go
+++ b/test/experiment/cluster/cluster_test.go
@@ -169,3 +169,15 @@
 	}
 	t.Fatalf("no %d events of type %s", n, typ)
 }
+
+// TestUnreachable guards against a caller that gives up, although nothing was
+// submitted, when the first entry instance can't be reached.
+func TestUnreachable(t *testing.T) {
+	f := &fakeEntry{answer: func(_ int, id string) *jobapi.JobAnswer { return complete(id) }}
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	c := NewCallers([]string{gone.Listener.Addr().String(), f.serve(t)}, history.NewRecorder())
+	if out := c.Submit(testJob, false); !out.Complete() {
+		t.Fatalf("%+v", out)
+	}
+}
--- a/test/experiment/history/model.go
+++ b/test/experiment/history/model.go
@@ -1,8 +1,10 @@
 package history
 
 import (
+	"fmt"
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -242,7 +244,24 @@
 	}
 	for id, ops := range parts {
 		if r := porcupine.CheckOperationsTimeout(submissionModel(), ops, modelTimeout); r != porcupine.Ok {
-			c.fail("P2", "the answers about %s contradict each other (%s)", id, r)
+			c.fail("P2", "the answers about %s contradict each other (%s): %s", id, r, describe(ops))
 		}
 	}
 }
+
+// describe lists answers for the reader of a violation.
+func describe(ops []porcupine.Operation) string {
+	var parts []string
+	for _, op := range ops {
+		a := op.Output.(*jobapi.JobAnswer)
+		text := fmt.Sprintf("%v-%v %s", time.Duration(op.Call).Round(time.Millisecond), time.Duration(op.Return).Round(time.Millisecond), a.State)
+		if a.Reason != "" {
+			text += " (" + string(a.Reason) + ")"
+		}
+		for _, t := range a.Tasks {
+			text += " " + string(t.State)
+		}
+		parts = append(parts, text)
+	}
+	return strings.Join(parts, "; ")
+}
--- a/test/experiment/live/network.go
+++ b/test/experiment/live/network.go
@@ -21,10 +21,12 @@
 	// machine is the number of the machine behind an internal address.
 	machine map[string]int
 	gates   map[string]*delay.Gate
+	// pairs are the gates between two internal addresses, in sorted order.
+	pairs map[[2]string]*delay.Gate
 }
 
 func newNetwork(d load.Deployment) *network {
-	return &network{d: d, machine: map[string]int{}, gates: map[string]*delay.Gate{}}
+	return &network{d: d, machine: map[string]int{}, gates: map[string]*delay.Gate{}, pairs: map[[2]string]*delay.Gate{}}
 }
 
 // place notes that the process at an internal address is on a machine, and
@@ -39,9 +41,25 @@
 	return n.gates[addr]
 }
 
-// dialer returns the dial function of a process on a machine. Its connections
-// pass its own gate and that of the process called.
-func (n *network) dialer(machine int, own *delay.Gate) rpcnet.DialFunc {
+// pair returns the gate of the traffic between two processes.
+func (n *network) pair(a, b string) *delay.Gate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pairLocked(a, b)
+}
+
+func (n *network) pairLocked(a, b string) *delay.Gate {
+	key := [2]string{min(a, b), max(a, b)}
+	if n.pairs[key] == nil {
+		n.pairs[key] = delay.NewGate()
+	}
+	return n.pairs[key]
+}
+
+// dialer returns the dial function of the process at an internal address on a
+// machine. Its connections pass its own gate, that of the process called, and
+// that between the two.
+func (n *network) dialer(machine int, self string, own *delay.Gate) rpcnet.DialFunc {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
 		d := net.Dialer{Timeout: dialTimeout}
 		conn, err := d.DialContext(ctx, "tcp", addr)
@@ -54,7 +72,7 @@
 		oneWay := n.d.ZoneDelay
 		if to, known := n.machine[addr]; known {
 			oneWay = n.d.ZoneToZone(machine, to)
-			gates = append(gates, n.gates[addr])
+			gates = append(gates, n.gates[addr], n.pairLocked(self, addr))
 		}
 		return delay.Wrap(conn, oneWay, gates...), nil
 	}
@@ -66,4 +84,7 @@
 	for _, g := range n.gates {
 		g.Open()
 	}
+	for _, g := range n.pairs {
+		g.Open()
+	}
 }
--- a/test/experiment/live/nodes.go
+++ b/test/experiment/live/nodes.go
@@ -115,7 +115,7 @@
 	n.cfg = entry.Config{
 		Instance: cluster.Name(cluster.Entry, i), Zone: d.Zone(i), Region: "region-1",
 		CallerAddress: addrs[0], OperatorAddress: addrs[1], InternalAddress: addrs[2],
-		Window: window, RetainWindows: retainWindows, Dial: c.net.dialer(i, n.gate),
+		Window: window, RetainWindows: retainWindows, Dial: c.net.dialer(i, addrs[2], n.gate),
 	}
 	for _, other := range c.entries {
 		n.cfg.Peers = append(n.cfg.Peers, other.cfg.InternalAddress)
@@ -250,7 +250,7 @@
 	n.cfg = sidecar.Config{
 		Instance: cluster.Name(cluster.Sidecar, i), Zone: d.Zone(i), Rack: d.Rack(i),
 		LocalAddress: addrs[0], InternalAddress: addrs[1], Attachments: len(c.entries),
-		LedgerRetain: (retainWindows + 1) * window, Dial: c.net.dialer(i, n.gate),
+		LedgerRetain: (retainWindows + 1) * window, Dial: c.net.dialer(i, addrs[1], n.gate),
 	}
 	for _, e := range c.entries {
 		n.cfg.EntryAddresses = append(n.cfg.EntryAddresses, e.cfg.InternalAddress)
--- a/test/experiment/runs/churn.go
+++ b/test/experiment/runs/churn.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,16 +28,32 @@
 	timelySlack  = 500 * time.Millisecond
 	// downTime is how long killed and paused processes stay away.
 	downTime = 2500 * time.Millisecond
+	// deadTime is longer than the silence after which an entry instance that is
+	// asked about a submission gives its owner up and recovers it.
+	deadTime = 5500 * time.Millisecond
+	// askEvery is the time between two rounds of questions about the open
+	// submissions, asked at another entry instance than their owner's.
+	askEvery = 500 * time.Millisecond
 )
 
-// step is one fault of the churn: action on the targets, undo after downTime.
+// step is one fault of the churn: action on the targets, undo after downTime or
+// after down if that is set.
 type step struct {
 	name         string
 	action, undo string
 	role         cluster.Role
 	targets      []int
+	down         time.Duration
 }
 
+// Actions beside those of phase.fault. cutPair holds the traffic between two
+// targets back, and replaceEach stops and starts one target after another.
+const (
+	cutPair     = "cut"
+	joinPair    = "join"
+	replaceEach = "replace"
+)
+
 // churnSteps are all kinds of faults, with targets by the seed.
 func churnSteps(d load.Deployment, rnd *rand.Rand) []step {
 	entry := func() []int { return []int{rnd.IntN(d.Entries)} }
@@ -52,17 +69,51 @@
 		return list
 	}
 	return []step{
-		{"killEntry", "kill", "start", cluster.Entry, entry()},
-		{"pauseEntry", "pause", "resume", cluster.Entry, entry()},
-		{"drainEntry", "stop", "start", cluster.Entry, entry()},
-		{"killSidecar", "kill", "start", cluster.Sidecar, worker()},
-		{"pauseSidecar", "pause", "resume", cluster.Sidecar, worker()},
-		{"drainSidecar", "stop", "start", cluster.Sidecar, worker()},
-		{"killBackend", "kill", "start", cluster.Backend, worker()},
-		{"drainBackend", "stop", "start", cluster.Backend, worker()},
-		{"rack", "kill", "start", cluster.Sidecar, same(d.Rack)},
-		{"zone", "kill", "start", cluster.Sidecar, same(d.Zone)},
+		{name: "killEntry", action: "kill", undo: "start", role: cluster.Entry, targets: entry()},
+		{name: "pauseEntry", action: "pause", undo: "resume", role: cluster.Entry, targets: entry()},
+		{name: "drainEntry", action: "stop", undo: "start", role: cluster.Entry, targets: entry()},
+		{name: "killSidecar", action: "kill", undo: "start", role: cluster.Sidecar, targets: worker()},
+		{name: "pauseSidecar", action: "pause", undo: "resume", role: cluster.Sidecar, targets: worker()},
+		{name: "drainSidecar", action: "stop", undo: "start", role: cluster.Sidecar, targets: worker()},
+		{name: "killBackend", action: "kill", undo: "start", role: cluster.Backend, targets: worker()},
+		{name: "drainBackend", action: "stop", undo: "start", role: cluster.Backend, targets: worker()},
+		{name: "rack", action: "kill", undo: "start", role: cluster.Sidecar, targets: same(d.Rack)},
+		{name: "zone", action: "kill", undo: "start", role: cluster.Sidecar, targets: same(d.Zone)},
+	}
+}
+
+// longSteps are faults of entry instances that last longer than the silence
+// bound, and replacements of all processes of a role.
+func longSteps(d load.Deployment, rnd *rand.Rand) []step {
+	return []step{
+		{name: "deadEntry", action: "kill", undo: "start", role: cluster.Entry, targets: rnd.Perm(d.Entries)[:1], down: deadTime},
+		{name: "killTwoEntries", action: "kill", undo: "start", role: cluster.Entry, targets: rnd.Perm(d.Entries)[:2], down: deadTime},
+		{name: "cutEntries", action: cutPair, undo: joinPair, role: cluster.Entry, targets: rnd.Perm(d.Entries)[:2], down: deadTime},
+		{name: "replaceEntries", action: replaceEach, role: cluster.Entry, targets: rnd.Perm(d.Entries), down: deadTime},
+		{name: "replaceSidecars", action: replaceEach, role: cluster.Sidecar, targets: rnd.Perm(d.Workers), down: deadTime},
+	}
+}
+
+// downFor is how long the fault lasts.
+func (s step) downFor() time.Duration { return max(s.down, downTime) }
+
+// length is the time from the step to the next one: the longer of the fault
+// and the time to recover, and a while to measure.
+func (s step) length() time.Duration {
+	return max(s.downFor(), recoverWithin) + time.Second
+}
+
+// stepsWithin returns the steps that fit into a time, and when each begins.
+func stepsWithin(steps []step, d time.Duration) (fit []step, at []time.Duration) {
+	next := recoverWithin + time.Second
+	for _, s := range steps {
+		if len(fit) > 0 && next+s.length() > d {
+			continue
+		}
+		fit, at = append(fit, s), append(at, next)
+		next += s.length()
 	}
+	return fit, at
 }
 
 // withBackends reports whether a fault takes the backend servers along.
@@ -73,51 +124,108 @@
 	d := load.Torno("low")
 	jobs := load.Generate(d, load.Spec{Duration: r.Duration, Fraction: churnFraction, MaxTasks: churnMaxTasks}, r.Seed)
 	rnd := rand.New(rand.NewPCG(r.Seed, 4))
-	steps := churnSteps(d, rnd)
+	steps := append(churnSteps(d, rnd), longSteps(d, rnd)...)
 	rnd.Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
-	gap := r.gap()
-	if n := max(1, int(r.Duration/gap)-1); n < len(steps) {
-		steps = steps[:n]
+	if len(r.Faults) > 0 {
+		steps = slices.DeleteFunc(steps, func(s step) bool { return !slices.Contains(r.Faults, s.name) })
 	}
+	steps, at := stepsWithin(steps, r.Duration)
 	p, err := r.start(d, d.Document())
 	if err != nil {
 		return err
 	}
 	var wg sync.WaitGroup
 	var failed error
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		failed = p.inject(steps, gap)
-	}()
+	wg.Go(func() { failed = p.inject(steps, at) })
+	done := make(chan struct{})
+	wg.Go(func() { p.askElsewhere(done) })
 	out := p.drive(jobs)
+	close(done)
 	wg.Wait()
 	if _, err := p.close(); err != nil {
 		return err
 	}
-	r.goodput(d, jobs, out, steps, gap)
+	r.goodput(d, jobs, out, steps, at)
 	return errors.Trace(failed)
 }
 
-// gap is the time between faults: recovery, and then as long to measure.
-func (r *run) gap() time.Duration { return recoverWithin + time.Second }
+// askElsewhere asks about the open submissions at other entry instances.
+func (p *phase) askElsewhere(done <-chan struct{}) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+			wg.Go(p.callers.AskElsewhere)
+		}
+	}
+}
 
-// inject runs the steps, one per gap. The undo of a step comes before the
+// inject runs the steps at their times. The undo of a step comes before the
 // next one.
-func (p *phase) inject(steps []step, gap time.Duration) error {
+func (p *phase) inject(steps []step, at []time.Duration) error {
 	for i, s := range steps {
-		p.sleepUntil(gap * time.Duration(i+1))
-		if err := p.each(s, s.action); err != nil {
+		p.sleepUntil(at[i])
+		if err := p.apply(s); err != nil {
 			return err
 		}
-		p.sleepUntil(gap*time.Duration(i+1) + downTime)
-		if err := p.each(s, s.undo); err != nil {
+		if s.undo == "" {
+			continue
+		}
+		p.sleepUntil(at[i] + s.downFor())
+		if err := p.revert(s); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// apply begins a step.
+func (p *phase) apply(s step) error {
+	switch s.action {
+	case cutPair:
+		p.cut(s, p.c.Cut)
+		return nil
+	case replaceEach:
+		return p.replace(s)
+	}
+	return p.each(s, s.action)
+}
+
+// revert ends a step.
+func (p *phase) revert(s step) error {
+	if s.undo == joinPair {
+		p.cut(s, p.c.Join)
+		return nil
+	}
+	return p.each(s, s.undo)
+}
+
+func (p *phase) cut(s step, do func(i, j int)) {
+	for _, i := range s.targets {
+		p.note(load.Line{Type: load.LineFault, Fault: &load.Fault{Action: s.name, Target: string(s.role), Index: i}})
+	}
+	do(s.targets[0], s.targets[1])
+}
+
+// replace stops and starts one target after another, spread over the step.
+func (p *phase) replace(s step) error {
+	begin, each := p.now(), s.downFor()/time.Duration(len(s.targets))
+	for n, i := range s.targets {
+		p.sleepUntil(begin + time.Duration(n)*each)
+		for _, action := range []string{"stop", "start"} {
+			if err := p.fault(action, s.role, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // each applies an action to all targets of a step at once.
 func (p *phase) each(s step, action string) error {
 	var wg sync.WaitGroup
@@ -142,13 +250,13 @@
 }
 
 // goodput sets the share of timely completions among the jobs that arrive
-// from the recovery bound after each fault until the next one.
-func (r *run) goodput(d load.Deployment, jobs []load.Arrival, out []cluster.Outcome, steps []step, gap time.Duration) {
+// from the recovery bound after each fault until the next one, which includes
+// the later part of a fault that lasts longer than the bound.
+func (r *run) goodput(d load.Deployment, jobs []load.Arrival, out []cluster.Outcome, steps []step, at []time.Duration) {
 	ideal := load.Ideal(d, jobs)
 	worst := math.Inf(1) // not a figure if no job was measured
 	for n, s := range steps {
-		from := gap*time.Duration(n+1) + recoverWithin
-		to := gap * time.Duration(n+2)
+		from, to := at[n]+recoverWithin, at[n]+s.length()
 		timely, all := 0, 0
 		for i, o := range out {
 			if o.At < from || o.At >= to {
--- a/test/experiment/runs/config.go
+++ b/test/experiment/runs/config.go
@@ -32,8 +32,9 @@
 	configKill = 0.6
 )
 
-// limitEdit is an edit of the queue limit "edit-<i>". The limits are on teams
-// that have no work, so that the edits don't change the load.
+// limitEdit is an edit of the queue limit "edit-<i>" of a kind that has work.
+// Its values are above any queue, so that the edits don't change the load, but
+// an entry instance that holds no share of them yet refuses the kind.
 func limitEdit(i int, value int64, expect uint64) cluster.Edit {
 	return cluster.Edit{
 		Type: resource.TypeLimit, Name: fmt.Sprintf("edit-%d", i), Expect: expect, Limit: &value,
@@ -67,7 +68,7 @@
 	p.drive(load.Generate(d, load.Spec{Duration: r.Duration, Fraction: configLoad, MaxTasks: churnMaxTasks}, r.Seed))
 	wg.Wait()
 	time.Sleep(configInForce)
-	p.checkNothingLost()
+	p.checkNothingLost(configLimits)
 	h, err := p.close()
 	if err != nil {
 		return err
@@ -124,7 +125,7 @@
 
 // checkNothingLost reads each limit from each entry instance: its version
 // must be at least that of the newest accepted edit.
-func (p *phase) checkNothingLost() {
+func (p *phase) checkNothingLost(limits int) {
 	newest := map[string]uint64{}
 	for _, m := range p.rec.History().Commits {
 		if m.Outcome == history.Accepted {
@@ -132,7 +133,7 @@
 		}
 	}
 	o := cluster.NewOperator(p.rec)
-	for i := range configLimits {
+	for i := range limits {
 		name := limitEdit(i, 0, 0).Name
 		for entry := range p.d.Entries {
 			v, err := o.Version(p.c.OperatorAddress(entry), resource.TypeLimit, name)
--- a/test/experiment/runs/storeoutage.go
+++ b/test/experiment/runs/storeoutage.go
@@ -76,7 +76,10 @@
 	r.rep.Figure("acceptedAfterHeal", float64(healed))
 	r.rep.Target("acceptedAfterHeal", report.AtLeast, 1)
 	r.rep.Target("newInstanceS", report.AtMost, recoverWithin.Seconds())
-	return errors.Trace(failed)
+	if failed != nil {
+		return errors.Trace(failed)
+	}
+	return r.replaceInOutage(d)
 }
 
 // storeFaults runs the schedule of faults.
--- a/test/experiment/runs/waste.go
+++ b/test/experiment/runs/waste.go
@@ -34,7 +34,6 @@
 	rnd := rand.New(rand.NewPCG(r.Seed, 5))
 	steps := churnSteps(d, rnd)
 	rnd.Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
-	steps = steps[:min(len(steps), max(1, int(r.Duration/r.gap())-1))]
 	calm.Fraction = churnFraction
 	return r.countWaste("churn", d, calm, steps, wasteTrouble)
 }
@@ -44,13 +43,14 @@
 	if err != nil {
 		return err
 	}
+	steps, at := stepsWithin(steps, r.Duration)
 	before := p.c.Counters()
 	var wg sync.WaitGroup
 	var failed error
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		failed = p.inject(steps, r.gap())
+		failed = p.inject(steps, at)
 	}()
 	p.drive(load.Generate(d, s, r.Seed))
 	wg.Wait()
