membership: let a sidecar that was cut off return

Cause: found by reading: a sidecar that an entry instance gave up after 20 s of silence could never attach to it again without a restart, so a partition of half a minute would have cost a zone. Asking in one region for a submission of another, cut off region declared its owner dead. Idle callers' connections were closed after 10 s, which loses requests sent at that moment. Change: sidecar incarnations may return until a newer one is seen; owners of another region are never declared dead by a caller's question; idle connections live 10 minutes. Tests: TestMayReturn; the entry tests pass.

--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -34,6 +34,10 @@
 	DeadAfter time.Duration
 	// Retain is how long a Dead member is remembered.
 	Retain time.Duration
+	// MayReturn allows an incarnation that was given up after a silence to be
+	// used again, as long as no newer one of the instance has been seen. It
+	// must be false where a death is acted on in a way that can't be undone.
+	MayReturn bool
 }
 
 // Member is one incarnation of a process.
@@ -73,10 +77,10 @@
 }
 
 // Seen notes a sign of life that came from the process itself. It returns
-// false for an incarnation that is already dead, which must not be used again.
+// false for an incarnation that is dead and must not be used again.
 func (t *Table) Seen(now time.Duration, p wire.Peer, rack string, window uint64) bool {
 	m := t.members[p.Process]
-	if m != nil && m.State == Dead {
+	if m != nil && m.State == Dead && !(t.cfg.MayReturn && t.current[p.Process.Instance] == p.Process) {
 		return false
 	}
 	if m == nil {
--- a/internal/decision/membership/membership_test.go
+++ b/internal/decision/membership/membership_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// TestMayReturn guards against a member that was cut off for long being shut
+// out for ever, and against a replaced incarnation returning.
+func TestMayReturn(t *testing.T) {
+	tab := New(Config{SilentAfter: 3, DeadAfter: 10, Retain: 100, MayReturn: true})
+	a := peer("a", 1, "z")
+	tab.Seen(0, a, "r", 0)
+	tab.Tick(20)
+	if m, _ := tab.Get(a.Process); m.State != Dead {
+		t.Fatalf("after a long silence: %+v", m)
+	}
+	if !tab.Seen(21, a, "r", 0) {
+		t.Fatal("a member that was cut off may not return")
+	}
+	tab.Seen(22, peer("a", 2, "z"), "r", 0)
+	if tab.Seen(23, a, "r", 0) {
+		t.Fatal("a replaced incarnation returned")
+	}
+}
+
 // TestGroup guards against a rack or zone loss being reported per process.
 func TestGroup(t *testing.T) {
 	g := NewGrouper(10)
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -88,7 +88,10 @@
 		losses:  membership.NewGrouper(time.Second),
 	}
 	bounds := membership.Config{SilentAfter: e.cfg.SilentAfter, DeadAfter: e.cfg.GoneAfter, Retain: e.cfg.retention()}
+	// A sidecar that was cut off still has its ledger and may return.
+	bounds.MayReturn = true
 	c.sidecars = membership.New(bounds)
+	bounds.MayReturn = false
 	// A silent entry instance may be cut off for minutes with its region; it is
 	// declared dead earlier only when that is needed and safe.
 	bounds.DeadAfter = max(e.cfg.ReclaimAfter, e.cfg.GoneAfter)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,7 @@
 		Handler:               e.callerHandler(),
 		MaxRequestBodySize:    cfg.MaxBody,
 		ReadTimeout:           cfg.ReadTimeout,
+		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		ErrorHandler:          e.requestError,
@@ -76,6 +77,7 @@
 		Handler:               e.operatorHandler(),
 		MaxRequestBodySize:    cfg.MaxBody,
 		ReadTimeout:           cfg.ReadTimeout,
+		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		ErrorHandler:          e.requestError,
@@ -84,6 +86,11 @@
 	return e, nil
 }
 
+// idleTimeout is the life of an idle connection. It is longer than that of
+// callers and balancers, so that they and not this process close it: a request
+// sent on a connection that is being closed has an unknown outcome.
+const idleTimeout = 10 * time.Minute
+
 // silent drops fasthttp's own log lines; errors of requests are events.
 type silent struct{}
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,7 +29,7 @@
 		case ownerDead:
 			return e.recoverJob(ctx, id, req.Job)
 		case ownerUnknown:
-			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "no entry instance with this incarnation is known here")
+			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "the owner of the submission is not known or not reached here")
 		}
 		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		var reply wire.ForwardReply
@@ -77,6 +77,10 @@
 		e.core.call(func(now time.Duration) { e.core.killEntry(now, p) })
 		return nil, ownerDead
 	}
+	if known && m.Peer.Region != e.cfg.Region {
+		// The other region may only be cut off and still run the job.
+		return nil, ownerUnknown
+	}
 	if known {
 		// Silent for longer than the bound: a caller asks, so it is given up.
 		e.core.call(func(now time.Duration) { e.core.killEntry(now, m.Peer.Process) })
--- a/internal/entry/sidecars.go
+++ b/internal/entry/sidecars.go
@@ -138,6 +138,7 @@
 		p := t.Member.Peer.Process
 		switch t.Member.State {
 		case membership.Live:
+			delete(c.gone, p)
 			c.machine.SetLeaving(now, p, c.links[p] != nil && c.links[p].leaving)
 		case membership.Silent:
 			c.machine.SetLeaving(now, p, true)
