--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,6 +179,7 @@
 func (e *Entry) SetDraining(on bool) {
 	e.core.draining.Store(on)
 	e.core.call(func(time.Duration) { e.core.machine.Drain(on) })
+	e.beats.poke()
 	if on {
 		e.log(event.EntryDraining, "instance", e.cfg.Instance)
 	}
