recovery: learn the number of tasks from the ledgers; entry: no 'not run' before arrival

P2: a GET of a submission whose owner is fenced was answered as failed with all listed tasks completed, because the number of tasks died with the payload: '4.904s-5.204s complete x4; 5.064s-10.609s failed (outcomeUnknown) completed x3'. Each start now carries the number of tasks of its job, and the ledger's reply too, so the recovered answer is whole. A completed task whose result body was dropped by the byte limit no longer counts as complete.

P4: a GET that reaches the owner before the submission was answered as refused and not run; the submission then arrived and ran. It is now answered as unknown. TestAskedBeforeArrival fails without the change.

--- a/internal/decision/recovery/recovery.go
+++ b/internal/decision/recovery/recovery.go
@@ -12,7 +12,7 @@
 type Question struct {
 	ID ident.ID
 	// Tasks is the number of tasks of the job; zero if it is not known, since
-	// the payload died with the owner.
+	// the payload died with the owner. The ledgers have it too.
 	Tasks int
 	// Idempotent is true if the job's kind is known to be idempotent.
 	Idempotent bool
@@ -62,6 +62,7 @@
 // should be read again before the answer is final.
 func Judge(q Question, replies []Reply) (jobapi.JobAnswer, bool) {
 	found, running := gather(replies)
+	q.Tasks = max(q.Tasks, jobTasks(replies))
 	n := max(q.Tasks, highest(found)+1)
 	missing := jobapi.TaskMayHaveRun
 	if Complete(q, replies) {
@@ -77,7 +78,7 @@
 		if task.State != jobapi.TaskNotRun {
 			started++
 		}
-		if task.State == jobapi.TaskCompleted {
+		if task.State == jobapi.TaskCompleted && task.Error == "" {
 			completed++
 		}
 		answer.Tasks = append(answer.Tasks, task)
@@ -130,12 +131,26 @@
 		t.State = jobapi.TaskMayHaveRun
 		t.Error = "the task was still running"
 	}
+	if e.State == jobapi.TaskCompleted && e.Result == nil {
+		t.Error = "the result is no longer kept"
+	}
 	if e.Result != nil {
 		t.Result, t.Error, t.RunMs = e.Result.Body, e.Result.Error, e.Result.RunMs
 	}
 	return t
 }
 
+// jobTasks returns the number of tasks of the job, zero if no sidecar knows it.
+func jobTasks(replies []Reply) int {
+	n := 0
+	for _, r := range replies {
+		if r.Ledger != nil {
+			n = max(n, r.Ledger.JobTasks)
+		}
+	}
+	return n
+}
+
 func highest(found map[int]jobapi.TaskAnswer) int {
 	top := -1
 	for i := range found {
--- a/internal/decision/recovery/recovery_test.go
+++ b/internal/decision/recovery/recovery_test.go
@@ -49,12 +49,23 @@
 				l.Entries = append(l.Entries, wire.LedgerEntry{Task: wire.TaskKey{Index: i}, State: jobapi.TaskCompleted, Result: &wire.TaskResult{State: jobapi.TaskCompleted}})
 			}
 		}
+		if rapid.Bool().Draw(t, "withoutPayload") && visible > 0 {
+			for _, r := range replies {
+				if r.Ledger != nil && len(r.Ledger.Entries) > 0 {
+					r.Ledger.JobTasks = q.Tasks
+				}
+			}
+			q.Tasks = 0
+		}
 		a, running := Judge(q, replies)
+		if len(a.Tasks) > 0 && len(a.Tasks) != len(ran) {
+			t.Fatalf("%d tasks in the answer, the job has %d", len(a.Tasks), len(ran))
+		}
 		if running {
 			t.Fatal("no task was running")
 		}
-		if (a.State == jobapi.JobComplete) != (visible == q.Tasks) {
-			t.Fatalf("state %s with %d of %d found", a.State, visible, q.Tasks)
+		if (a.State == jobapi.JobComplete) != (visible == len(ran)) {
+			t.Fatalf("state %s with %d of %d found", a.State, visible, len(ran))
 		}
 		if a.State == jobapi.JobRefused {
 			for i, r := range ran {
@@ -86,3 +97,15 @@
 		t.Fatalf("with a lost sidecar: %+v", a)
 	}
 }
+
+// TestDroppedResult guards against a job that is said to be complete although
+// the result of a task is no longer kept.
+func TestDroppedResult(t *testing.T) {
+	id := ident.ID{Owner: ident.Process{Instance: "e", Incarnation: 1}, Window: 5, Suffix: "x"}
+	s := ident.Process{Instance: "s", Incarnation: 1}
+	l := &wire.LedgerReply{Sidecar: s, Fenced: true, JobTasks: 1, Entries: []wire.LedgerEntry{{State: jobapi.TaskCompleted}}}
+	a, _ := Judge(Question{ID: id}, []Reply{{Sidecar: s, Ledger: l}})
+	if a.State != jobapi.JobFailed || a.Tasks[0].State != jobapi.TaskCompleted || a.Tasks[0].Error == "" {
+		t.Fatalf("%+v", a)
+	}
+}
--- a/internal/decision/slots/ledger.go
+++ b/internal/decision/slots/ledger.go
@@ -14,7 +14,9 @@
 	owner ident.Process
 	class *class
 	slot  uint64
-	state jobapi.TaskState
+	// jobTasks is the number of tasks of the job.
+	jobTasks int
+	state    jobapi.TaskState
 	// result is nil while the task runs and after its body was dropped.
 	result *wire.TaskResult
 	ended  time.Duration
@@ -41,13 +43,14 @@
 	return ledger{tasks: map[wire.TaskKey]*record{}, subs: map[string]*record{}, limit: limit}
 }
 
-func (l *ledger) start(task wire.TaskKey, owner ident.Process, cl *class, slot uint64) {
+func (l *ledger) start(s wire.Start, owner ident.Process, cl *class, slot uint64) {
+	task := s.Task
 	first := l.subs[task.Submission]
 	if first != nil {
 		// Shares one copy of the ID among the submission's tasks.
 		task.Submission = first.task.Submission
 	}
-	r := &record{task: task, owner: owner, class: cl, slot: slot, state: jobapi.TaskRunning, next: first}
+	r := &record{task: task, owner: owner, class: cl, slot: slot, jobTasks: s.JobTasks, state: jobapi.TaskRunning, next: first}
 	if first != nil {
 		first.prev = r
 	}
@@ -123,6 +126,14 @@
 	return wire.LedgerEntry{Task: task, State: r.state, Result: r.result}
 }
 
+// jobTasks returns the number of tasks of a job, or zero.
+func (l *ledger) jobTasks(id string) int {
+	if r := l.subs[id]; r != nil {
+		return r.jobTasks
+	}
+	return 0
+}
+
 func (l *ledger) submission(id string) []wire.LedgerEntry {
 	var out []wire.LedgerEntry
 	for r := l.subs[id]; r != nil; r = r.next {
--- a/internal/decision/slots/start.go
+++ b/internal/decision/slots/start.go
@@ -35,7 +35,7 @@
 	cl.count++
 	m.running++
 	m.owners[process]++
-	m.ledger.start(s.Task, process, cl, c.id.Slot())
+	m.ledger.start(s, process, cl, c.id.Slot())
 	return wire.Accepted
 }
 
@@ -98,7 +98,7 @@
 // Ledger returns the ledger entries of a submission. The state of its owner
 // is included if the submission ID is valid.
 func (m *Machine) Ledger(submission string) wire.LedgerReply {
-	reply := wire.LedgerReply{Sidecar: m.cfg.Self, Entries: m.ledger.submission(submission)}
+	reply := wire.LedgerReply{Sidecar: m.cfg.Self, Entries: m.ledger.submission(submission), JobTasks: m.ledger.jobTasks(submission)}
 	id, err := ident.Parse(submission)
 	if err != nil {
 		return reply
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// TestAskedBeforeArrival guards against "not run" about a submission that
+// arrives after the question and runs.
+func TestAskedBeforeArrival(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	id := a.prefix() + "x"
+	if _, ans := do(t, fasthttp.MethodGet, "http://"+a.CallerAddr()+"/v1/jobs/"+id, nil); ans.NotRun || !ans.State.Final() {
+		t.Fatalf("before the submission: %+v", ans)
+	}
+	if _, ans := post(t, a, id, 1, 1); ans.State != jobapi.JobComplete {
+		t.Fatalf("the submission: %+v", ans)
+	}
+}
+
 // TestDeadOwner guards against a false answer about a submission whose owner
 // died: what the sidecars completed is found, nothing runs twice.
 func TestDeadOwner(t *testing.T) {
@@ -184,6 +199,11 @@
 	if ans.Tasks[0].State != jobapi.TaskCompleted {
 		t.Fatalf("the finished task was not found: %+v", ans)
 	}
+	// Without the payload the number of tasks comes from the sidecars.
+	_, asked := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id, nil)
+	if asked.State != jobapi.JobComplete || len(asked.Tasks) != 1 {
+		t.Fatalf("the same submission on a GET: %+v", asked)
+	}
 	_, gone := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id[:len(id)-1]+"other", nil)
 	if !gone.NotRun {
 		t.Fatalf("a submission that never arrived: %+v", gone)
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -41,10 +41,14 @@
 	})
 }
 
-// getOwn returns the answer to a job of this process.
+// getOwn returns the answer to a job of this process. A submission that has not
+// arrived yet is not called "not run", because it may arrive later and run.
 func (e *Entry) getOwn(ctx context.Context, id ident.ID, wait bool) jobapi.JobAnswer {
 	return e.ask(ctx, id, wait, func(now time.Duration, m *dispatch.Machine) jobapi.JobAnswer {
-		a, _ := m.Answer(now, id.String())
+		a, known := m.Answer(now, id.String())
+		if !known && m == e.core.machine {
+			return unknown(id.String(), jobapi.ReasonOutcomeUnknown, "no such submission has arrived here yet")
+		}
 		return a
 	})
 }
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -33,15 +35,19 @@
 	}
 }
 
-// reserve returns a loopback address for a process that starts later.
+// reserve returns a loopback address for a process that starts later. Its port
+// is below those that systems give to outgoing connections.
 func reserve(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", loopback)
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 28000+rand.IntN(4000)))
+		if err == nil {
+			defer lis.Close()
+			return lis.Addr().String()
+		}
 	}
-	defer lis.Close()
-	return lis.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // startEntry runs an entry instance at an internal address until the test ends.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,6 +54,8 @@
 	Payload []byte `msgpack:"p,omitempty"`
 	// DeadlineMs is the time left until the job's deadline, in milliseconds.
 	DeadlineMs int64 `msgpack:"d"`
+	// JobTasks is the number of tasks of the job, for its recovery.
+	JobTasks int `msgpack:"n,omitempty"`
 }
 
 // RefuseCode says why a start was refused. A refused start has not happened
@@ -304,6 +306,8 @@
 	Known       bool          `msgpack:"k"`
 	FirstWindow uint64        `msgpack:"w"`
 	Entries     []LedgerEntry `msgpack:"e,omitempty"`
+	// JobTasks is the number of tasks of the job; zero if none has started here.
+	JobTasks int `msgpack:"n,omitempty"`
 }
 
 // ForwardOp is an operation on a submission that another instance owns.
--- a/test/experiment/history/check.go
+++ b/test/experiment/history/check.go
@@ -147,21 +147,21 @@
 		if !ok {
 			continue
 		}
-		c.checkNotRun(call.Submission, sub, e.Answer)
+		c.checkNotRun(call.Submission, sub, e.At, e.Answer)
 		c.checkWhole(call.Submission, sub, e.Answer)
 	}
 }
 
 // checkNotRun checks P4. A task that was reported as not run may not start
 // later either.
-func (c *checker) checkNotRun(id string, sub Event, a *jobapi.JobAnswer) {
+func (c *checker) checkNotRun(id string, sub Event, at time.Duration, a *jobapi.JobAnswer) {
 	for i := 0; i < sub.Tasks; i++ {
 		starts := c.starts[task{id, i}]
 		if len(starts) == 0 {
 			continue
 		}
 		if a.NotRun {
-			c.fail("P4", "%s was reported as not run, task %d started at %v", id, i, starts[0].At)
+			c.fail("P4", "%s was reported as not run at %v (%s: %s), task %d started at %v", id, at, a.Reason, a.Message, i, starts[0].At)
 		} else if i < len(a.Tasks) && a.Tasks[i].State == jobapi.TaskNotRun {
 			c.fail("P4", "task %d of %s was reported as not run and started at %v", i, id, starts[0].At)
 		}
--- a/test/experiment/live/nodes.go
+++ b/test/experiment/live/nodes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -24,15 +23,6 @@
 // retainWindows keeps answers for a minute.
 const retainWindows = 60
 
-// freeAddress reserves a loopback address for a process that starts later.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Annotate(err, "find a free port")
-	}
-	defer lis.Close()
-	return lis.Addr().String(), nil
-}
 
 // runner is a process that runs until stopped or killed.
 type runner struct {
