--- a/test/experiment/live/nodes.go
+++ b/test/experiment/live/nodes.go
@@ -23,7 +23,6 @@
 // retainWindows keeps answers for a minute.
 const retainWindows = 60
 
-
 // runner is a process that runs until stopped or killed.
 type runner struct {
 	mu      sync.Mutex // guards the fields below
