controller: join a forked document that only a peer still has

Cause: a document from a peer that has forked from the held one was left to the next read of the store, which joins only what the store itself holds. If all entry instances were replaced, the store restored to an older state, and an edit accepted before the first sidecar offered its copy, the sidecars' accepted edits were never taken: the store held the other branch, and the sidecars took it as soon as its revision passed theirs.

The controller now keeps the offered document and writes the union at the next read of the store; the edit that was accepted last prevails, unless it would lower an amount. TestOfferJoinedWithLaterEdit runs into its patience without the change.

Ruled out as a way in: a document that was not accepted, because processes hold accepted documents only. Not covered: two branches of the same revision number, which heartbeats don't tell apart.

--- a/internal/controller/config_controller.go
+++ b/internal/controller/config_controller.go
@@ -56,8 +56,10 @@
 	// committing admits one commit at a time.
 	committing chan struct{}
 
-	mu      sync.Mutex // guards machine, lastRejection and opts.Rand
+	mu      sync.Mutex // guards machine, forked, lastRejection and opts.Rand
 	machine *revision.Machine
+	// forked is a peer's document that waits to be joined with the held one.
+	forked *resource.Document
 	// lastRejection is the last error logged, so that the same bytes offered
 	// with every heartbeat are logged once.
 	lastRejection error
@@ -132,14 +134,19 @@
 
 // Offer takes a document from a peer if it is valid and newer. The error says
 // why a document was rejected; an older document is no error. One that has
-// forked from the held one waits for the store, where the two are joined.
+// forked from the held one is joined with it at the next read of the store.
 func (c *Config) Offer(data []byte) error {
 	if doc := c.Document(); doc != nil {
 		if rev := resource.PeekRevision(data); rev != 0 && rev <= doc.Revision {
 			return nil
 		}
 	}
-	verdict, _, err := c.consider(data)
+	verdict, doc, err := c.consider(data)
+	if verdict == revision.Forked {
+		c.mu.Lock()
+		c.forked = doc
+		c.mu.Unlock()
+	}
 	if verdict == revision.Adopted || verdict == revision.Forked {
 		// The store may lack this revision after a restore.
 		c.wakeWatch()
--- /dev/null
+++ b/internal/controller/config_fork_test.go
@@ -0,0 +1,54 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/revision"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/store/standin"
+)
+
+// Guards against the loss of edits that only a sidecar still has, because all
+// entry instances were replaced and the store was restored to an older state,
+// when an edit is accepted before the sidecar offers its copy.
+func TestOfferJoinedWithLaterEdit(t *testing.T) {
+	s := standin.New(clock.Real{}, time.Hour)
+	clk := clock.NewManual(time.Unix(0, 0))
+	c := startAt(t, clk, s, 1, 0)
+	eventually(t, "ready with a pending watch", func() bool { return c.Ready() && s.Watches() == 1 })
+	copied := c.Document()
+	for _, name := range []string{"a", "b"} {
+		next, _, err := revision.Apply(copied, team(name, "lost-"+name, 5))
+		if err != nil {
+			t.Fatal(err)
+		}
+		copied = next
+	}
+	data, err := resource.Encode(copied)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Commit(context.Background(), team("a", "later", 9)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Offer(data); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "both in the store", func() bool {
+		clk.Advance(wakeDelay)
+		e, err := s.Get(context.Background(), ConfigKey)
+		if err != nil {
+			return false
+		}
+		d, err := resource.Decode(e.Value)
+		return err == nil && d.Teams["a"] != nil && d.Teams["b"] != nil && d.Revision > copied.Revision
+	})
+	eventually(t, "in force", func() bool { return rate(c, "a") == 9 && rate(c, "b") == 5 })
+	doc := c.Document()
+	if err := c.Offer(data); err != nil || c.Document() != doc {
+		t.Fatalf("the copy was offered again: %v, revision %d after %d", err, c.Document().Revision, doc.Revision)
+	}
+}
--- a/internal/controller/config_watch.go
+++ b/internal/controller/config_watch.go
@@ -101,9 +101,34 @@
 		return c.write(ctx, m.Document, e.Version, "the store's configuration revision %d had forked from revision %d; joined as revision %d, not taken: %v",
 			stored.Revision, held.Revision, m.Document.Revision, m.Dropped)
 	}
-	// After a rejection the old document stays. Waiting for the next change is
-	// right, because reading the same bytes again can't help.
-	return nil
+	if verdict == revision.Rejected {
+		// The old document stays. Waiting for the next change is right, because
+		// reading the same bytes again can't help.
+		return nil
+	}
+	return c.join(ctx, e.Version)
+}
+
+// join writes the union of the held document, which the store has under the
+// given version, and of one that a peer offered and that has changes of its
+// own. That happens if entry instances and the store lost the accepted edits
+// that a sidecar still has, and an edit was accepted before the sidecar offered
+// its copy.
+func (c *Config) join(ctx context.Context, version uint64) error {
+	c.mu.Lock()
+	other := c.forked
+	if other != nil && c.machine.Compare(other) != revision.Forked {
+		other, c.forked = nil, nil
+	}
+	c.mu.Unlock()
+	if other == nil {
+		return nil
+	}
+	held := c.Document()
+	// The changes of the held document were accepted last.
+	m := revision.Merge(other, held)
+	return c.write(ctx, m.Document, version, "a peer's configuration revision %d had forked from revision %d; joined as revision %d, not taken: %v",
+		other.Revision, held.Revision, m.Document.Revision, m.Dropped)
 }
 
 // fill writes the held or the default document to a store without one.
--- a/internal/decision/revision/choose.go
+++ b/internal/decision/revision/choose.go
@@ -93,6 +93,9 @@
 	return v
 }
 
+// Compare returns the verdict that Adopt would give, without adopting.
+func (m *Machine) Compare(doc *resource.Document) Verdict { return compare(m.held, doc) }
+
 func compare(held, doc *resource.Document) Verdict {
 	switch {
 	case held == nil:
