entry: a killed instance answers nothing

Cause: when the core loop ended, handlers that waited for a job answered 'failed (draining); the tasks may have run' before the connection was closed. That answer is final for the caller, although another entry instance could still learn the outcome from the sidecars.

The connection is now closed without a response, as Kill's comment promises, and a forwarded request gets an error, on which the forwarder recovers the job. TestKillAnswersNothing fails without the change. A graceful shutdown has answered its requests before that point.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -156,6 +156,32 @@
 	}
 }
 
+// TestKillAnswersNothing guards against an answer of a killed instance, which
+// would be final for a caller who can still learn the outcome elsewhere.
+func TestKillAnswersNothing(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	const callers = 8
+	failed := make(chan error, callers)
+	for i := range callers {
+		r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		r.SetRequestURI("http://" + a.CallerAddr() + "/v1/jobs")
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString(fmt.Sprintf(`{"submissionID":"%sx%d","team":"studio","kind":"seat","tasks":[{"payload":{"sleepMs":5000}}]}`, a.prefix(), i))
+		go func() { failed <- fasthttp.Do(r, w) }()
+	}
+	for a.inFlight.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	a.Kill()
+	for range callers {
+		if err := <-failed; err == nil {
+			t.Fatal("a killed instance answered")
+		}
+	}
+}
+
 // TestAskedBeforeArrival guards against "not run" about a submission that
 // arrives after the question and runs.
 func TestAskedBeforeArrival(t *testing.T) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"strconv"
 
 	"github.com/fasthttp/router"
@@ -122,6 +123,10 @@
 	default:
 		a = e.getOwn(e.ctx, id, fwd.Wait)
 	}
+	if e.ctx.Err() != nil {
+		hangUp(ctx)
+		return
+	}
 	if a.RetryAfterMs > 0 {
 		seconds := (a.RetryAfterMs + 999) / 1000
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
@@ -129,6 +134,14 @@
 	httperr.WriteJSON(ctx, statusOf(a), a)
 }
 
+// hangUp closes the connection without a response. An instance that was killed
+// answers nothing: what it could say would be final for the caller, while
+// another instance can still find out what became of the job.
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
 // problem is an error in a request; nothing was run because of it.
 type problem struct {
 	status int
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -111,6 +111,10 @@
 	default:
 		a = s.e.getOwn(context.Background(), id, req.Wait)
 	}
+	if s.e.ctx.Err() != nil {
+		// The answer would hide what the sidecars know.
+		return errors.NotFoundf("incarnation %s, which has stopped", id.Owner)
+	}
 	reply.Answer, reply.Status = a, statusOf(a)
 	return nil
 }
--- a/test/experiment/runs/replaceoutage.go
+++ b/test/experiment/runs/replaceoutage.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// callsTime is how long the calls of the store are counted.
-	callsTime = 2 * time.Second
+	// callsTime is how long the calls of the store are counted; it spans a renewal
+	// of each registration.
+	callsTime = 5 * time.Second
 	// outageTime is how long the store stays down after all entry instances
 	// have been replaced, so that retries reach their longest delay.
 	outageTime = 2 * time.Second
