ctl: match the Resource API and the Job API as they are

Cause: the tool was written against a guessed API. A watch expected one long poll per change, PUT a bare resource, delete sent its condition as a query parameter that the server ignores (an unconditional deletion), and errors lost their details. A GET of an unknown submission ID answered 503 with notRun true, although the job could still be under way. The entry instance answers 404 submissionUnknown to a query of an unknown ID. cardamomturnd gains sample-store and sample-backend.

--- a/internal/ctl/answer.go
+++ b/internal/ctl/answer.go
@@ -16,6 +16,9 @@
 	if json.Unmarshal(res.Body, &a) != nil || a.State == "" {
 		return nil, statusError(step, res)
 	}
+	if res.Status == fasthttp.StatusNotFound {
+		return nil, fail(ExitError, "%s: %s: %s", step, a.Reason, a.Message)
+	}
 	if res.Status == fasthttp.StatusConflict {
 		return nil, fail(ExitConflict, "%s: %s: another job has this ID: %s", step, a.Reason, a.Message)
 	}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -22,7 +22,8 @@
 		UsageText: "cardamomctl apply -f FILE [--allow-decrease] [--wait]",
 		Description: "The file holds JSON envelopes {\"type\":\"kinds\",\"metadata\":{\"name\":...},\"spec\":{...}}:\n" +
 			"one, an array, or several one after the other. \"-\" reads standard input. All are\n" +
-			"checked before the first is sent. A resourceVersion in the metadata makes the\n" +
+			"checked before the first is sent; they are sent in the order urgencies, kinds,\n" +
+			"teams, limits, policies. A resourceVersion in the metadata makes the\n" +
 			"change conditional.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "file", Aliases: []string{"f"}, Usage: "resource `FILE`; may be repeated"},
@@ -46,6 +47,10 @@
 		}
 		all = append(all, some...)
 	}
+	if err := checkTwice(all); err != nil {
+		return err
+	}
+	SortEnvelopes(all)
 	cl := p.client()
 	applied := make([]Envelope, 0, len(all))
 	for _, e := range all {
@@ -84,12 +89,11 @@
 	if allowDecrease {
 		path += "?allowDecrease=true"
 	}
-	var accepted struct {
-		Object object `json:"object"`
+	done, err := c.edit(fasthttp.MethodPut, path, object{Metadata: e.Metadata, Spec: e.Spec}, nil)
+	if err != nil || done.Object.Metadata.Name == "" {
+		return e, err
 	}
-	err := c.resource(fasthttp.MethodPut, path, object{Metadata: e.Metadata, Spec: e.Spec}, &accepted)
-	o := accepted.Object
-	return Envelope{Type: e.Type, Metadata: o.Metadata, Spec: o.Spec}, err
+	return Envelope{Type: e.Type, Metadata: done.Object.Metadata, Spec: done.Object.Spec}, nil
 }
 
 func resourcePath(t resource.Type, name string) string {
@@ -102,7 +106,7 @@
 	for _, e := range applied {
 		for {
 			var o object
-			err := c.resource(fasthttp.MethodGet, resourcePath(e.Type, e.Metadata.Name), nil, &o)
+			err := c.resource(resourcePath(e.Type, e.Metadata.Name), &o)
 			if err != nil && exitCode(err) != ExitUnavailable {
 				return err
 			}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -73,15 +73,19 @@
 // call sends one request with an optional JSON body. The error is a *lostError
 // if no response arrived.
 func (c *Client) call(method, base, path string, body any) (*response, error) {
-	return c.callUntil(method, base, path, body, c.deadline)
+	return c.callUntil(method, base, path, body, nil, c.deadline)
 }
 
-func (c *Client) callUntil(method, base, path string, body any, until time.Time) (*response, error) {
+// callUntil is call with request headers and a deadline of its own.
+func (c *Client) callUntil(method, base, path string, body any, headers map[string]string, until time.Time) (*response, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	req.SetRequestURI(base + path)
 	req.Header.SetMethod(method)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
@@ -106,33 +110,17 @@
 	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &op) && op.Op == "dial"
 }
 
-// apiError is the body of an error response.
-type apiError struct {
-	Error   string `json:"error"`
-	Message string `json:"message"`
-	Reason  string `json:"reason"`
-	// ResourceVersion is the current version, in a conflict.
-	ResourceVersion uint64 `json:"resourceVersion"`
-}
-
-// reasonUnknown is the reason of a change whose outcome the server can't tell.
-const reasonUnknown = "unknown"
-
-// resource calls the Resource API and decodes a 2xx body into out. Other
-// statuses become errors with their exit codes. A lost response to a change
-// is an unknown outcome.
-func (c *Client) resource(method, path string, body, out any) error {
-	res, err := c.call(method, c.operator, path, body)
+// resource reads from the Resource API and decodes a 2xx body into out. Other
+// statuses become errors with their exit codes.
+func (c *Client) resource(path string, out any) error {
+	res, err := c.call(fasthttp.MethodGet, c.operator, path, nil)
 	if err != nil {
-		return lost(err, method != fasthttp.MethodGet)
+		return lost(err, false)
 	}
 	if res.Status/100 != 2 {
-		return statusError(method+" "+path, res)
+		return statusError("GET "+path, res)
 	}
-	if out == nil || len(res.Body) == 0 {
-		return nil
-	}
-	return errors.Annotatef(json.Unmarshal(res.Body, out), "decoding the response to %s %s", method, path)
+	return errors.Annotatef(json.Unmarshal(res.Body, out), "decoding the response to GET %s", path)
 }
 
 // lost returns the error for a response that did not arrive.
@@ -146,38 +134,3 @@
 	}
 	return &codeError{ExitUnavailable, err}
 }
-
-func statusError(step string, res *response) error {
-	var body apiError
-	if json.Unmarshal(res.Body, &body) != nil {
-		body.Error = string(res.Body)
-	}
-	text := body.Error
-	if text == "" {
-		text = body.Message
-	}
-	if len(text) > 2000 {
-		text = text[:2000]
-	}
-	err := errors.Errorf("%s: status %d: %s", step, res.Status, text)
-	if body.ResourceVersion != 0 {
-		err = errors.Errorf("%s (current resourceVersion %d)", err, body.ResourceVersion)
-	}
-	return &codeError{code: statusCode(res.Status, body.Reason), err: err}
-}
-
-func statusCode(status int, reason string) int {
-	switch {
-	case reason == reasonUnknown:
-		return ExitUnknown
-	case status == fasthttp.StatusConflict:
-		return ExitConflict
-	case status == fasthttp.StatusUnprocessableEntity, status == fasthttp.StatusTooManyRequests:
-		return ExitRefused
-	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusBadGateway:
-		return ExitUnavailable
-	case status == fasthttp.StatusGatewayTimeout:
-		return ExitUnknown
-	}
-	return ExitError
-}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/resourceapi"
 )
 
 const prefix = "e1.ab.7."
@@ -74,7 +75,7 @@
 			respond(ctx, 200, jobapi.JobAnswer{SubmissionID: req.SubmissionID, State: jobapi.JobComplete,
 				Tasks: make([]jobapi.TaskAnswer, len(req.Tasks))})
 		default:
-			respond(ctx, 404, apiError{Error: "not known"})
+			respond(ctx, 404, jobapi.JobAnswer{State: jobapi.JobRefused, Reason: jobapi.ReasonUnknownSubmission})
 		}
 	})
 	code, out, errOut := run(address, "", "submit", "-o", "json", "--team", "a", "--kind", "b", "--tasks", "3")
@@ -104,11 +105,14 @@
 		"may have run":    {200, answer{State: jobapi.JobFailed, Tasks: []jobapi.TaskAnswer{{State: jobapi.TaskMayHaveRun}}}, nil, ExitUnknown},
 		"expired":         {410, answer{State: jobapi.JobFailed, Reason: jobapi.ReasonExpired}, nil, ExitUnknown},
 		"other payload":   {409, answer{State: jobapi.JobRefused, Reason: jobapi.ReasonConflict}, nil, ExitConflict},
-		"edit conflict":   {409, apiError{Error: "conflict", ResourceVersion: 4}, []string{"delete", "kinds", "x"}, ExitConflict},
-		"lowered limit":   {422, apiError{Error: "lowers"}, []string{"delete", "limits", "x"}, ExitRefused},
-		"store down":      {503, apiError{Reason: "unavailable"}, []string{"delete", "kinds", "x"}, ExitUnavailable},
-		"unknown edit":    {503, apiError{Reason: "unknown"}, []string{"delete", "kinds", "x"}, ExitUnknown},
-		"not found":       {404, apiError{Error: "none"}, []string{"get", "kinds", "x"}, ExitError},
+		"edit conflict":   {409, map[string]any{"error": "conflict", "current": 4}, []string{"delete", "kinds", "x"}, ExitConflict},
+		"in use":          {409, map[string]any{"error": "in use", "referredBy": []any{map[string]any{"type": "kinds", "name": "k"}}}, []string{"delete", "urgencies", "x"}, ExitConflict},
+		"lowered limit":   {422, map[string]any{"error": "lowers"}, []string{"delete", "limits", "x"}, ExitRefused},
+		"store down":      {503, map[string]any{"error": "unavailable"}, []string{"delete", "--timeout", "200ms", "kinds", "x"}, ExitUnavailable},
+		"unknown edit":    {504, map[string]any{"error": "unknown", "outcome": "unknown"}, []string{"delete", "--timeout", "200ms", "kinds", "x"}, ExitUnknown},
+		"malformed job":   {400, map[string]any{"error": "malformed JSON", "notRun": true}, nil, ExitRefused},
+		"unknown job":     {404, answer{State: jobapi.JobRefused, Reason: jobapi.ReasonUnknownSubmission}, []string{"get", "jobs", prefix + "x"}, ExitError},
+		"not found":       {404, map[string]any{"error": "none"}, []string{"get", "kinds", "x"}, ExitError},
 		"flag after name": {200, nil, []string{"get", "kinds", "-o", "json"}, ExitUsage},
 		"unknown type":    {200, nil, []string{"get", "colours"}, ExitUsage},
 		"unknown command": {200, nil, []string{"paint"}, ExitUsage},
@@ -129,21 +133,59 @@
 	}
 }
 
-// Guards against a change whose response was lost being reported as not made.
-func TestLostChangeIsUnknown(t *testing.T) {
-	calls := 0
+// Guards against a change whose response was lost being reported as not made,
+// and against a repetition that the server would take for another change.
+func TestLostChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		// faults is the number of attempts that fail before one succeeds.
+		faults, want int
+	}{"resolved": {2, ExitOK}, "until the timeout": {1 << 30, ExitUnknown}} {
+		ids := map[string]bool{}
+		calls := 0
+		address := serve(t, func(ctx *fasthttp.RequestCtx) {
+			calls++
+			ids[string(ctx.Request.Header.Peek(resourceapi.HeaderChangeID))] = true
+			switch {
+			case calls > c.faults:
+				ctx.SetBodyString(`{"changeID":"x","revision":7}`)
+			case calls == 1:
+				ctx.HijackSetNoResponse(true)
+				ctx.Hijack(func(c net.Conn) { c.Close() })
+			default:
+				// A later "not changed" doesn't deny the lost attempt.
+				ctx.SetStatusCode(503)
+			}
+		})
+		code, _, errOut := run(address, "", "delete", "--timeout", "600ms", "--version", "4", "kinds", "x")
+		if code != c.want || calls < 2 || len(ids) != 1 || ids[""] {
+			t.Errorf("%s: exit code %d after %d calls with change IDs %v: %s", name, code, calls, ids, errOut)
+		}
+	}
+}
+
+// Guards against details of a refusal that the operator does not see, and a
+// deletion that loses its condition.
+func TestErrorDetails(t *testing.T) {
+	var match string
 	address := serve(t, func(ctx *fasthttp.RequestCtx) {
-		calls++
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(c net.Conn) { c.Close() })
+		match = string(ctx.Request.Header.Peek("If-Match"))
+		ctx.SetStatusCode(422)
+		ctx.SetBodyString(`{"error":"no","problems":[{"field":"spec.weight","message":"negative"}],"current":12,
+			"lowered":[{"field":"spec.amounts.rate","old":9,"new":4}],"referredBy":[{"type":"kinds","name":"k1"}],"changeID":"c-7"}`)
 	})
-	if code, _, errOut := run(address, "", "delete", "kinds", "x"); code != ExitUnknown || calls != 1 {
-		t.Errorf("exit code %d after %d calls: %s", code, calls, errOut)
+	code, _, errOut := run(address, "", "delete", "--version", "4", "limits", "x")
+	if code != ExitRefused || match != "4" {
+		t.Errorf("exit code %d, If-Match %q", code, match)
+	}
+	for _, want := range []string{"spec.weight", "current version: 12", "spec.amounts.rate 9 -> 4", "kinds/k1", "c-7"} {
+		if !strings.Contains(errOut, want) {
+			t.Errorf("no %q in %s", want, errOut)
+		}
 	}
 }
 
-// Guards against an apply that sends part of a faulty file, ignores the wait
-// or loses the decrease flag.
+// Guards against an apply that sends part of a faulty file, a resource before
+// those it refers to, ignores the wait or loses the decrease flag.
 func TestApply(t *testing.T) {
 	var puts []string
 	gets := 0
@@ -153,7 +195,7 @@
 			puts = append(puts, string(ctx.RequestURI()))
 			_ = json.Unmarshal(ctx.PostBody(), &o)
 			o.Metadata.Generation = 2
-			respond(ctx, 200, o)
+			respond(ctx, 200, map[string]any{"changeID": "c", "revision": 3, "object": o})
 			return
 		}
 		gets++
@@ -163,8 +205,8 @@
 		}
 		ctx.SetBodyString(`{"metadata":{"generation":2},"spec":{},"status":{` + since + `"observedGeneration":2,"processes":3,"inForce":3,"conditions":[]}}`)
 	})
-	good := `{"type":"kinds","metadata":{"name":"k"},"spec":{"service":"s","urgency":"high","runMs":1,"deadlineMs":2}}
-[{"type":"teams","metadata":{"name":"t"},"spec":{}}]`
+	good := `[{"type":"teams","metadata":{"name":"t"},"spec":{}}]
+{"type":"kinds","metadata":{"name":"k"},"spec":{"service":"s","urgency":"high","runMs":1,"deadlineMs":2}}`
 	if code, _, e := run(address, good, "apply", "--allow-decrease", "--wait", "-f", "-"); code != ExitOK || gets != 4 {
 		t.Errorf("exit code %d after %d reads: %s", code, gets, e)
 	}
--- a/internal/ctl/delete.go
+++ b/internal/ctl/delete.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/urfave/cli/v2"
 	"github.com/valyala/fasthttp"
@@ -26,10 +27,11 @@
 		return err
 	}
 	path := fmt.Sprintf("%s?allowDecrease=%t", resourcePath(t, name), c.Bool("allow-decrease"))
+	headers := map[string]string{}
 	if v := c.Uint64("version"); v != 0 {
-		path += fmt.Sprintf("&resourceVersion=%d", v)
+		headers[fasthttp.HeaderIfMatch] = strconv.FormatUint(v, 10)
 	}
-	if err := p.client().resource(fasthttp.MethodDelete, path, nil, nil); err != nil {
+	if _, err := p.client().edit(fasthttp.MethodDelete, path, nil, headers); err != nil {
 		return err
 	}
 	if p.output == outputJSON {
--- a/internal/ctl/describe.go
+++ b/internal/ctl/describe.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/urfave/cli/v2"
-	"github.com/valyala/fasthttp"
 )
 
 func (p *program) describeCommand() *cli.Command {
@@ -23,7 +22,7 @@
 		return err
 	}
 	var o object
-	if err := p.client().resource(fasthttp.MethodGet, resourcePath(t, name), nil, &o); err != nil {
+	if err := p.client().resource(resourcePath(t, name), &o); err != nil {
 		return err
 	}
 	if p.output == outputJSON {
@@ -55,8 +54,8 @@
 	if w := s.Work; w != nil {
 		rows = append(rows,
 			[]string{"Tasks:", fmt.Sprintf("%d queued, %d running, %d completed, %d failed", w.Queued, w.Running, w.Completed, w.Failed)},
-			[]string{"Refused:", fmt.Sprint(w.Refused)},
-			[]string{"Response:", fmt.Sprintf("%d jobs, p50 %s, p99 %s, max %s", w.Response.Count, ms(w.Response.P50), ms(w.Response.P99), ms(w.Response.Max))})
+			[]string{"Refused:", counts(w.Refused)},
+			[]string{"Response:", fmt.Sprintf("%d jobs, p50 %s, p99 %s, max %s", w.Response.Count, ms(w.Response.P50), ms(w.Response.P99), ms(w.Response.Max)), "|" + bars(w.Response.Buckets) + "|"})
 	}
 	for _, cond := range s.Conditions {
 		rows = append(rows, []string{"Condition:", cond.Type + "=" + cond.Status, cond.Reason, cond.Message})
--- a/internal/ctl/envelope.go
+++ b/internal/ctl/envelope.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/juju/errors"
 
@@ -84,18 +85,42 @@
 	if len(all) == 0 {
 		return nil, errors.NotValidf("input without resources")
 	}
+	if err := checkTwice(all); err != nil {
+		return nil, err
+	}
+	for _, e := range all {
+		if err := e.check(); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// checkTwice reports a resource that occurs more than once.
+func checkTwice(all []Envelope) error {
 	seen := map[string]bool{}
 	for _, e := range all {
 		key := string(e.Type) + "/" + e.Metadata.Name
 		if seen[key] {
-			return nil, errors.NotValidf("%s occurs twice", key)
+			return errors.NotValidf("%s occurs twice", key)
 		}
 		seen[key] = true
-		if err := e.check(); err != nil {
-			return nil, err
-		}
 	}
-	return all, nil
+	return nil
+}
+
+// applyOrder is the order in which resources are applied: those that others
+// refer to come first.
+var applyOrder = []resource.Type{
+	resource.TypeUrgency, resource.TypeKind, resource.TypeTeam, resource.TypeLimit, resource.TypePolicy,
+}
+
+// SortEnvelopes sorts resources by dependency: urgencies, kinds, teams, limits,
+// policies. The order within a type is kept.
+func SortEnvelopes(all []Envelope) {
+	slices.SortStableFunc(all, func(a, b Envelope) int {
+		return slices.Index(applyOrder, a.Type) - slices.Index(applyOrder, b.Type)
+	})
 }
 
 func envelopes(raw json.RawMessage) ([]Envelope, error) {
--- a/internal/ctl/get.go
+++ b/internal/ctl/get.go
@@ -38,7 +38,7 @@
 	cl := p.client()
 	if c.NArg() == 2 {
 		var o object
-		if err := cl.resource(fasthttp.MethodGet, resourcePath(t, args.Get(1)), nil, &o); err != nil {
+		if err := cl.resource(resourcePath(t, args.Get(1)), &o); err != nil {
 			return err
 		}
 		if p.output == outputJSON {
@@ -47,7 +47,7 @@
 		return p.table(objectRows([]object{o}))
 	}
 	var l list
-	if err := cl.resource(fasthttp.MethodGet, "/v1/"+string(t), nil, &l); err != nil {
+	if err := cl.resource("/v1/"+string(t), &l); err != nil {
 		return err
 	}
 	if p.output == outputJSON {
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -106,3 +108,15 @@
 	}
 	return b.String()
 }
+
+// counts lists counters by name, such as "queueFull 3, rateLimit 1".
+func counts(by map[string]int64) string {
+	if len(by) == 0 {
+		return "-"
+	}
+	parts := make([]string, 0, len(by))
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		parts = append(parts, fmt.Sprintf("%s %d", name, by[name]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/ctl/stats.go
+++ b/internal/ctl/stats.go
@@ -5,21 +5,16 @@
 	"sort"
 
 	"github.com/urfave/cli/v2"
-	"github.com/valyala/fasthttp"
 
+	"github.com/cardamomturn/cardamomturn/internal/entry"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 )
 
-// Stats is the body of GET /v1/stats.
-type Stats struct {
-	Classes []metrics.ClassStats `json:"classes"`
-}
-
 func (p *program) statsCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "stats",
-		Usage:     "show response, run and wait times of each team and kind",
+		Usage:     "show the work, the waste and the times of one entry instance",
 		UsageText: "cardamomctl stats",
 		Action:    p.stats,
 	}
@@ -29,25 +24,63 @@
 	if c.NArg() != 0 {
 		return usage("stats takes no arguments")
 	}
-	var s Stats
-	if err := p.client().resource(fasthttp.MethodGet, "/v1/stats", nil, &s); err != nil {
+	var s entry.Stats
+	if err := p.client().resource("/v1/stats", &s); err != nil {
 		return err
 	}
 	sort.Slice(s.Classes, func(i, j int) bool {
 		a, b := s.Classes[i], s.Classes[j]
 		return a.Team < b.Team || a.Team == b.Team && a.Kind < b.Kind
 	})
+	sort.Slice(s.Times, func(i, j int) bool {
+		a, b := s.Times[i], s.Times[j]
+		return a.Team < b.Team || a.Team == b.Team && a.Kind < b.Kind
+	})
 	if p.output == outputJSON {
 		return p.printJSON(s)
 	}
+	state := "serving"
+	if s.Draining {
+		state = "draining"
+	}
+	fmt.Fprintf(p.Out, "entry %s: %s, %d sidecars, %d peers, internal bytes %d sent, %d received\n",
+		s.Entry.Process, state, s.Sidecars, s.Peers, s.InternalBytes.Sent, s.InternalBytes.Received)
+	for _, rows := range [][][]string{classRows(s.Classes), wasteRows(s), timeRows(s.Times)} {
+		fmt.Fprintln(p.Out)
+		if err := p.table(rows); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// classRows shows the levels and totals of each class. Completed and failed
+// are jobs, the rest but the refusals are tasks.
+func classRows(classes []entry.ClassStats) [][]string {
+	rows := [][]string{{"TEAM", "KIND", "QUEUED", "RUNNING", "STARTS", "JOBS COMPLETED", "JOBS FAILED", "JOBS REFUSED"}}
+	for _, c := range classes {
+		rows = append(rows, []string{c.Team, c.Kind, fmt.Sprint(c.Queued), fmt.Sprint(c.Running), fmt.Sprint(c.Starts),
+			fmt.Sprint(c.Completed), fmt.Sprint(c.Failed), counts(c.Refused)})
+	}
+	return rows
+}
+
+// wasteRows shows the messages that moved no task.
+func wasteRows(s entry.Stats) [][]string {
+	w := s.Waste
+	return [][]string{
+		{"WASTE", "REFUSED STARTS", "EMPTY RECALLS", "RETURNED CREDITS", "DEMAND MESSAGES", "FENCES", "DUPLICATES", "EXPIRED CREDITS"},
+		{"", fmt.Sprint(w.RefusedStarts), fmt.Sprint(w.EmptyRecalls), fmt.Sprint(w.ReturnedCredits), fmt.Sprint(w.DemandMessages),
+			fmt.Sprint(w.Fences), fmt.Sprint(w.Duplicates), fmt.Sprint(w.ExpiredCredits)},
+	}
+}
+
+func timeRows(times []metrics.ClassStats) [][]string {
 	rows := [][]string{{"TEAM", "KIND", "TIME", "COUNT", "MEAN", "P50", "P90", "P99", "MAX", "1ms..30s"}}
-	for _, class := range s.Classes {
-		rows = append(rows,
-			histogramRow(class, "job response", class.Response),
-			histogramRow(class, "task run", class.Run),
-			histogramRow(class, "queue wait", class.Wait))
+	for _, t := range times {
+		rows = append(rows, histogramRow(t, "job response", t.Response), histogramRow(t, "task run", t.Run), histogramRow(t, "queue wait", t.Wait))
 	}
-	return p.table(rows)
+	return rows
 }
 
 func histogramRow(c metrics.ClassStats, name string, h resource.Histogram) []string {
--- a/internal/ctl/submission_test.go
+++ b/internal/ctl/submission_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bufio"
 	"fmt"
 	"strings"
 	"testing"
@@ -40,37 +41,77 @@
 	}
 }
 
-// Guards against a watch that loses its revision or ends at a lost connection,
-// and against tables that lack their rows.
+// Guards against tables that lack their rows, and a drain that ends before the
+// work.
 func TestReadCommands(t *testing.T) {
-	var since []string
+	var left = 2
 	address := serve(t, func(ctx *fasthttp.RequestCtx) {
-		switch {
-		case string(ctx.Path()) == "/v1/stats":
-			ctx.SetBodyString(`{"classes":[{"team":"b","kind":"k"},{"team":"a","kind":"k","response":{"count":7,"p50":12.5,"buckets":[0,7]}}]}`)
-		case ctx.QueryArgs().Has("watch"):
-			since = append(since, string(ctx.QueryArgs().Peek("since")))
-			if len(since) == 2 {
-				ctx.SetStatusCode(503)
-				return
-			}
-			fmt.Fprintf(ctx, `{"revision":%d,"items":[{"metadata":{"name":"t%d"},"spec":{"weight":2}}]}`, 5*len(since), len(since))
+		switch string(ctx.Path()) {
+		case "/v1/stats":
+			fmt.Fprintf(ctx, `{"classes":[{"team":"b","kind":"k","queued":%d,"refused":{"queueFull":4}},{"team":"a","kind":"k"}],
+				"waste":{"EmptyRecalls":11},"times":[{"team":"a","kind":"k","response":{"count":7,"p50":12.5,"buckets":[0,7]}}]}`, left)
+			left = max(0, left-1)
+		case "/v1/drain":
 		default:
 			ctx.SetBodyString(`{"metadata":{"name":"t","generation":3},"spec":{},"status":{"processes":5,"inForce":2,
-				"conditions":[{"type":"Lowering","status":"True","message":"60 of 40"}]}}`)
+				"work":{"queued":6,"refused":{"queueFull":3}},"conditions":[{"type":"Lowering","status":"True","message":"60 of 40"}]}}`)
+		}
+	})
+	for _, c := range []struct {
+		args []string
+		want []string
+	}{
+		{[]string{"describe", "team", "t"}, []string{"2/5 (2 of 5 processes)", "Lowering=True", "6 queued", "queueFull 3"}},
+		{[]string{"drain", "--wait", address}, []string{"no work left"}},
+		{[]string{"stats"}, []string{"queueFull 4", "11", "12.5ms", "| █|"}},
+	} {
+		code, out, errOut := run(address, "", c.args...)
+		for _, want := range c.want {
+			if code != ExitOK || !strings.Contains(out, want) {
+				t.Errorf("%v: exit code %d, no %q in %s%s", c.args, code, want, out, errOut)
+			}
+		}
+	}
+	if left != 0 {
+		t.Errorf("drain ended with %d tasks left", left)
+	}
+}
+
+// Guards against a watch that loses its revision at a lost connection, repeats
+// what it has shown, or goes on with a gap after 410.
+func TestWatchResumes(t *testing.T) {
+	team := func(kind string, rev int, rest string) string {
+		return fmt.Sprintf(`{"type":%q,"revision":%d,"resource":{"type":"teams","name":"t%d"}%s}`+"\n", kind, rev, rev, rest)
+	}
+	inForce := `,"status":{"observedGeneration":1,"inForceSince":"2025-01-02T03:04:05Z","processes":4,"inForce":4}`
+	heartbeat := `{"type":"HEARTBEAT","revision":5}` + "\n"
+	streams := []string{
+		team("PUT", 0, "") + team("STATUS", 0, inForce) + heartbeat + team("PUT", 6, ""),
+		team("STATUS", 0, inForce) + heartbeat + team("PUT", 7, ""),
+		"", // 410
+		team("PUT", 0, "") + heartbeat + team("DELETE", 9, ""),
+	}
+	var since []string
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		since = append(since, string(ctx.QueryArgs().Peek("since")))
+		text := streams[min(len(since), len(streams))-1]
+		if text == "" {
+			ctx.SetStatusCode(410)
+			return
 		}
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { fmt.Fprint(w, text) })
 	})
-	code, out, _ := run(address, "", "watch", "--count", "2", "teams")
-	if code != ExitOK || fmt.Sprint(since) != "[0 5 5]" || !strings.Contains(out, "revision 15") || !strings.Contains(out, `{"weight":2}`) {
-		t.Errorf("watch: exit code %d, since %v, output %s", code, since, out)
+	code, out, errOut := run(address, "", "watch", "--count", "6", "teams")
+	var shown []string
+	for line := range strings.Lines(out) {
+		shown = append(shown, strings.Join(strings.Fields(line)[:2], " "))
 	}
-	code, out, _ = run(address, "", "describe", "team", "t")
-	if code != ExitOK || !strings.Contains(out, "2/5 (2 of 5 processes)") || !strings.Contains(out, "Lowering=True") {
-		t.Errorf("describe: exit code %d, output %s", code, out)
+	want := "[PUT teams/t0 STATUS teams/t0 PUT teams/t6 PUT teams/t7 PUT teams/t0 DELETE teams/t9]"
+	if code != ExitOK || fmt.Sprint(since) != "[0 6 7 0]" || fmt.Sprint(shown) != want {
+		t.Errorf("exit code %d, since %v, shown %v, errors %s", code, since, shown, errOut)
 	}
-	code, out, _ = run(address, "", "stats")
-	if code != ExitOK || strings.Index(out, "a ") > strings.Index(out, "b ") || !strings.Contains(out, "12.5ms") || !strings.Contains(out, "| █|") {
-		t.Errorf("stats: exit code %d, output %s", code, out)
+	if !strings.Contains(out, "on 4 of 4 processes, everywhere since 2025-01-02T03:04:05Z") || !strings.Contains(errOut, "starting from a snapshot") {
+		t.Errorf("output %s, errors %s", out, errOut)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 		OnUsageError:   onUsageError,
 		Commands: []*cli.Command{
 			entryCommand(s), sidecarCommand(s), standaloneCommand(s), checkConfigCommand(s),
+			sampleStoreCommand(s), sampleBackendCommand(s),
 		},
 		Action: func(c *cli.Context) error {
 			if c.NArg() > 0 {
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -44,7 +44,12 @@
 // getOwn returns the answer to a job of this process.
 func (e *Entry) getOwn(ctx context.Context, id ident.ID, wait bool) jobapi.JobAnswer {
 	return e.ask(ctx, id, wait, func(now time.Duration, m *dispatch.Machine) jobapi.JobAnswer {
-		a, _ := m.Answer(now, id.String())
+		a, known := m.Answer(now, id.String())
+		if !known {
+			// The submission may still be under way, so nothing is said of its
+			// tasks.
+			return unknownSubmission(id.String())
+		}
 		return a
 	})
 }
@@ -97,11 +102,20 @@
 	return jobapi.JobAnswer{SubmissionID: id, State: jobapi.JobFailed, Reason: reason, Message: message + "; the tasks may have run"}
 }
 
+// unknownSubmission builds the answer to a query of an ID under which no job
+// has arrived.
+func unknownSubmission(id string) jobapi.JobAnswer {
+	return jobapi.JobAnswer{SubmissionID: id, State: jobapi.JobRefused, Reason: jobapi.ReasonUnknownSubmission,
+		Message: "no job has arrived under this submission ID; one may still be under way"}
+}
+
 // statusOf returns the HTTP status of an answer.
 func statusOf(a jobapi.JobAnswer) int {
 	switch {
 	case a.Reason == jobapi.ReasonExpired:
 		return http.StatusGone
+	case a.Reason == jobapi.ReasonUnknownSubmission:
+		return http.StatusNotFound
 	case a.Reason == jobapi.ReasonConflict:
 		return http.StatusConflict
 	case a.State == jobapi.JobComplete:
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -106,6 +106,9 @@
 	ReasonConflict        Reason = "submissionConflict"
 	ReasonLimitZero       Reason = "limitIsZero"
 	ReasonResultDropped   Reason = "resultDropped"
+	// ReasonUnknownSubmission answers a query of an ID under which no job has
+	// arrived. It proves nothing of a job that is still under way.
+	ReasonUnknownSubmission Reason = "submissionUnknown"
 )
 
 // JobAnswer is the body of every answer about a job.
