--- a/internal/ctl/get.go
+++ b/internal/ctl/get.go
@@ -2,23 +2,31 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/url"
+	"sort"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/resourceapi"
 )
 
-// typeJobs is the pseudo-type of get that reads the answer of a job.
-const typeJobs = "jobs"
+// Pseudo-types of get.
+const (
+	// typeJobs reads the answer of a job.
+	typeJobs = "jobs"
+	// typeProcesses lists the live processes.
+	typeProcesses = "processes"
+)
 
 func (p *program) getCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "get",
-		Usage:     "show resources, or the answer of a job",
-		UsageText: "cardamomctl get TYPE [NAME]\ncardamomctl get jobs SUBMISSION-ID",
+		Usage:     "show resources, the live processes, or the answer of a job",
+		UsageText: "cardamomctl get TYPE [NAME]\ncardamomctl get processes\ncardamomctl get jobs SUBMISSION-ID",
 		Action:    p.get,
 	}
 }
@@ -28,6 +36,9 @@
 	if args.First() == typeJobs && c.NArg() == 2 {
 		return p.getJob(args.Get(1))
 	}
+	if args.First() == typeProcesses && c.NArg() == 1 {
+		return p.getProcesses()
+	}
 	if c.NArg() < 1 || c.NArg() > 2 {
 		return usage("get needs TYPE [NAME]")
 	}
@@ -73,6 +84,29 @@
 	return outcome(answer)
 }
 
+// getProcesses lists the live processes with the revisions that they have.
+func (p *program) getProcesses() error {
+	var l struct {
+		Items []resourceapi.Process `json:"items"`
+	}
+	if err := p.client().resource("/v1/processes", &l); err != nil {
+		return err
+	}
+	sort.Slice(l.Items, func(i, j int) bool {
+		a, b := l.Items[i], l.Items[j]
+		return a.Role < b.Role || a.Role == b.Role && a.Process.Instance < b.Process.Instance
+	})
+	if p.output == outputJSON {
+		return p.printJSON(l)
+	}
+	rows := [][]string{{"ROLE", "PROCESS", "ADDRESS", "ZONE", "RACK", "IN FORCE", "REJECTED", "DRAINING"}}
+	for _, q := range l.Items {
+		rows = append(rows, []string{q.Role, q.Process.String(), q.Address, q.Zone, q.Rack,
+			fmt.Sprint(q.InForce), fmt.Sprint(q.Rejected), fmt.Sprint(q.Draining)})
+	}
+	return p.table(rows)
+}
+
 // parseType accepts the plural and the singular name of a resource type.
 func parseType(s string) (resource.Type, error) {
 	singular := map[string]resource.Type{
