--- a/internal/decision/membership/group.go
+++ b/internal/decision/membership/group.go
@@ -68,8 +68,16 @@
 	return out
 }
 
-func rackKey(m Member) string { return m.Peer.Zone + "/" + m.Rack }
+// rackKey names the rack of a member; it is empty for entry instances.
+func rackKey(m Member) string {
+	if m.Rack == "" {
+		return ""
+	}
+	return m.Peer.Zone + "/" + m.Rack
+}
 
+// takePlaces groups the members by place. A member without a known place, such
+// as an incarnation that was only ever heard of as dead, says nothing of one.
 func takePlaces(lost []Member, scope Scope, key func(Member) string, alive map[string]bool) ([]Member, []Loss) {
 	count := map[string]int{}
 	for _, m := range lost {
@@ -77,13 +85,13 @@
 	}
 	var rest []Member
 	for _, m := range lost {
-		if k := key(m); alive[k] || count[k] < 2 {
+		if k := key(m); k == "" || alive[k] || count[k] < 2 {
 			rest = append(rest, m)
 		}
 	}
 	var out []Loss
 	for k, n := range count {
-		if !alive[k] && n >= 2 {
+		if k != "" && !alive[k] && n >= 2 {
 			out = append(out, Loss{Scope: scope, Place: k, Members: n})
 		}
 	}
--- a/internal/decision/membership/membership_test.go
+++ b/internal/decision/membership/membership_test.go
@@ -101,3 +101,18 @@
 		t.Fatal("reported twice")
 	}
 }
+
+// TestGroupUnknownPlace guards against a "zone lost" or "rack lost" for members
+// without a place: dead incarnations known only by name, and entry instances.
+func TestGroupUnknownPlace(t *testing.T) {
+	g := NewGrouper(10)
+	for _, name := range []string{"a", "b"} {
+		g.Add(1, Member{Peer: peer(name, 1, "")})
+		g.Add(1, Member{Peer: peer("entry-"+name, 1, "z1")})
+	}
+	for _, l := range g.Due(11, []Member{{Peer: peer("c", 1, "z1"), Rack: "r1"}}) {
+		if l.Scope != ScopeProcess {
+			t.Errorf("loss %+v", l)
+		}
+	}
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -209,3 +209,21 @@
 		}
 	}
 }
+
+// TestUnknownSubmission guards against a query that denies a job which may
+// still be under way.
+func TestUnknownSubmission(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	id := a.prefix() + "x1"
+	for _, wait := range []string{"", "?wait=true"} {
+		status, ans := do(t, fasthttp.MethodGet, "http://"+a.CallerAddr()+"/v1/jobs/"+id+wait, nil)
+		if status != 404 || ans.NotRun || ans.SafeToResubmit || ans.Reason != jobapi.ReasonUnknownSubmission {
+			t.Errorf("query of an unknown ID: status %d, %+v", status, ans)
+		}
+	}
+	if status, ans := post(t, a, id, 1, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Errorf("submission after the query: status %d, %+v", status, ans)
+	}
+}
