--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -2,11 +2,13 @@
 package cmd_test
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -37,12 +39,22 @@
 		Dir: "testdata/script",
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("EXAMPLES", examples)
+			ports := freePorts(t, 3)
+			e.Setenv("CARDAMOM_SERVER", ports[0])
+			e.Setenv("CARDAMOM_OPERATOR", ports[1])
+			e.Setenv("PORT", ports[2])
+			writeFile(t, e.WorkDir, "standalone.json", standaloneSettings(ports[0], ports[1]))
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "until": until},
 	})
 }
 
+// standaloneSettings returns a settings file of the standalone role.
+func standaloneSettings(caller, operator string) string {
+	return fmt.Sprintf(`{"standalone":{"callerAddress":%q,"operatorAddress":%q,"slots":4}}`, caller, operator)
+}
+
 // exits is the script command "exits CODE PROGRAM [ARG...]": it runs a program
 // and checks its exit code.
 func exits(ts *testscript.TestScript, neg bool, args []string) {
@@ -63,3 +75,19 @@
 		ts.Fatalf("exit code %d, want %d", got, want)
 	}
 }
+
+// untilBound bounds the wait of the script command "until".
+const untilBound = 30 * time.Second
+
+// until is the script command "until PROGRAM [ARG...]": it repeats a program
+// until its exit code is 0.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 1 {
+		ts.Fatalf("usage: until PROGRAM [ARG...]")
+	}
+	for end := time.Now().Add(untilBound); ts.Exec(args[0], args[1:]...) != nil; time.Sleep(waitPoll) {
+		if time.Now().After(end) {
+			ts.Fatalf("%v did not succeed within %v", args, untilBound)
+		}
+	}
+}
