entry: hand the limit shares over at a graceful shutdown

Cause: giveAway was never called, so the shares of a stopped instance stayed unused until its longest deadline had passed. Change: an instance that has no task left gives its idle shares to a live peer that does not drain, before it stops. Run: go test ./internal/entry -run TestHandOver: ok with the call; without it the job on the other instance fails at its deadline.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -186,13 +186,17 @@
 	for e.unanswered() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPoll)
 	}
-	if e.unanswered() > 0 {
+	idle := e.unanswered() == 0
+	if !idle {
 		e.log(event.EntryDrainTimeout, "instance", e.cfg.Instance)
 		e.core.call(func(now time.Duration) { e.core.machine.Abandon(now) })
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Until(end)+time.Second)
 	defer cancel()
 	err := e.caller.ShutdownWithContext(ctx)
+	if idle {
+		e.handOver()
+	}
 	e.Kill()
 	e.log(event.EntryStopped, "instance", e.cfg.Instance)
 	return errors.Annotate(err, "shut down the caller port")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -37,7 +37,9 @@
 }
 
 type site struct {
-	t        *testing.T
+	t *testing.T
+	// doc is the configuration; nil selects testDocument.
+	doc      *resource.Document
 	entries  []*Entry
 	sidecars []*sidecar.Sidecar
 	backends []*backend.Backend
@@ -45,10 +47,13 @@
 
 func (s *site) addEntry(name string, peers ...string) *Entry {
 	s.t.Helper()
+	if s.doc == nil {
+		s.doc = testDocument()
+	}
 	e, err := New(Config{
 		Instance: name, Zone: "z1", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		InternalAddress: "127.0.0.1:0", Peers: peers, BeatInterval: 50 * time.Millisecond, Window: time.Second,
-	}, Deps{Configuration: fixedConfig{testDocument()}})
+	}, Deps{Configuration: fixedConfig{s.doc}})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -227,3 +232,37 @@
 		t.Errorf("submission after the query: status %d, %+v", status, ans)
 	}
 }
+
+// TestHandOver guards against a graceful shutdown after which the limit shares
+// of the instance stay unused.
+func TestHandOver(t *testing.T) {
+	five := int64(5)
+	s := &site{t: t, doc: testDocument()}
+	s.doc.Limits = map[string]*resource.Limit{"seat": {Spec: resource.LimitSpec{Kind: "seat", Amounts: resource.Amounts{Concurrency: &five}}}}
+	a := s.addEntry("a")
+	b := s.addEntry("b", a.InternalAddr())
+	s.addWorker("w1", a, b)
+	a.Reload()
+	b.Reload()
+	for end := time.Now().Add(20 * time.Second); len(a.core.view.Load().peers) == 0 || len(b.core.view.Load().peers) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the instances don't see each other")
+		}
+	}
+	// The first instance gets the whole limit, as at the first allocation.
+	plan := a.PlanAllocation(nil)
+	if plan == nil {
+		t.Fatal("no allocation")
+	}
+	a.ApplyAllocation(plan)
+	b.ApplyAllocation(plan)
+	if status, ans := post(t, a, "", 1, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Fatalf("before: status %d, %+v", status, ans)
+	}
+	if err := a.shutdown(); err != nil {
+		t.Fatal(err)
+	}
+	if status, ans := post(t, b, "", 10, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Errorf("after: status %d, %s %s", status, ans.State, ans.Reason)
+	}
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -192,13 +192,26 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
-// giveAway gives idle limit shares to a peer, because this instance drains.
-func (c *core) giveAway(now time.Duration) {
+// handOver gives the limit shares to a peer, so that they don't stay unused
+// until this incarnation counts as dead and its longest deadline has passed. It
+// may be called only when no task is left. A peer that doesn't answer leaves
+// the shares to that.
+func (e *Entry) handOver() {
+	var to ident.Process
+	e.core.call(func(now time.Duration) { to = e.core.giveAway(now) })
+	if client := e.core.view.Load().peers[to]; client != nil {
+		e.tellPeer(e.ctx, to, client)
+	}
+}
+
+// giveAway gives idle limit shares to a peer, because this instance drains. It
+// returns the peer, which is zero if there is none.
+func (c *core) giveAway(now time.Duration) ident.Process {
 	for _, m := range c.entries.In(membership.Live) {
 		if ps := c.peers[m.Peer.Process]; ps != nil && !ps.draining {
 			c.ledger.GiveAll(now, m.Peer.Process)
-			c.e.beats.poke()
-			return
+			return m.Peer.Process
 		}
 	}
+	return ident.Process{}
 }
