cmd: the multi-process test checks that there is enough to compare

Cause: the comparison of answers with started tasks could pass on few tasks. Change: bounds on jobs and started tasks that follow from the parts' sizes. Run: go test ./cmd (ok). A trial on a copy that reports lost tasks as notRun makes TestSite fail.

--- a/cmd/site_test.go
+++ b/cmd/site_test.go
@@ -216,6 +216,12 @@
 func (s *site) judge(t *testing.T) {
 	t.Helper()
 	starts, ends := s.ran(t)
+	// The complete jobs have 3*100 + 150 + 60 tasks, and each of the three jobs
+	// that lose a process has started at least one.
+	const wantJobs, wantStarts = 8, 513
+	if len(s.answers) < wantJobs || len(starts) < wantStarts {
+		t.Errorf("only %d jobs and %d tasks to compare", len(s.answers), len(starts))
+	}
 	for k, n := range starts {
 		if n != 1 {
 			t.Errorf("task %d of %s was started %d times", k.index, k.submission, n)
