entry: notice the end of a sidecar at once

Cause: a job whose task ran on a sidecar that died and was not replaced was answered after 20 s of silence or at its deadline, because nothing was sent to the sidecar meanwhile. Ruled out: a shorter silence bound, which would take a paused sidecar for a dead one. Change: the loss of a connection makes the link send a message; a refused connection proves the end. The same proof ends the wait for a dead owner. Before: TestDeadSidecar ended at the deadline of 10 s with reason deadline; after: outcomeUnknown within the same second.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -266,3 +266,23 @@
 		t.Errorf("after: status %d, %s %s", status, ans.State, ans.Reason)
 	}
 }
+
+// TestDeadSidecar guards against a job waiting for its deadline after the
+// sidecar that ran its task has ended.
+func TestDeadSidecar(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	awaitPeers(t, a)
+	answer := make(chan jobapi.JobAnswer, 1)
+	go func() { _, ans := post(t, a, "", 1, 9000); answer <- ans }()
+	for started := int64(0); started == 0; started, _ = s.backends[0].Counts() {
+		time.Sleep(time.Millisecond)
+	}
+	s.sidecars[0].Kill()
+	ans := <-answer
+	s.backends[0].Kill()
+	if ans.State != jobapi.JobFailed || ans.Reason != jobapi.ReasonOutcomeUnknown || ans.Tasks[0].State != jobapi.TaskMayHaveRun {
+		t.Fatalf("%+v", ans)
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -39,8 +40,8 @@
 			return reply.Answer
 		}
 		var failure *rpcnet.Error
-		if errors.As(err, &failure) && failure.Kind == nil {
-			// The process at that address is another incarnation.
+		if errors.As(err, &failure) && failure.Kind == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			// The process at that address is another incarnation, or has ended.
 			e.core.call(func(now time.Duration) { e.core.killEntry(now, id.Owner) })
 			continue
 		}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -43,6 +43,9 @@
 func newLink(c *core, p wire.Peer) *link {
 	l := &link{c: c, owner: *c.self.Load(), sidecar: p.Process, client: rpcnet.NewClientWith(p.Address, c.e.cfg.Dial)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
+	// A message after the loss shows at once whether the process has ended: its
+	// port then refuses connections.
+	l.client.OnLost = func() { go l.tell() }
 	return l
 }
 
--- a/internal/rpcnet/client.go
+++ b/internal/rpcnet/client.go
@@ -57,11 +57,15 @@
 type Client struct {
 	addr string
 	dial DialFunc
+	// OnLost is called when an open connection breaks and the client is not
+	// closed. It is set before the first call and must not block.
+	OnLost func()
 	// sent and received count bytes on the wire.
 	sent, received atomic.Int64
 
 	mu     sync.Mutex // guards the fields below
 	rpc    *rpc.Client
+	codec  *clientCodec // that of rpc
 	closed bool
 	dialMu sync.Mutex // serializes dials
 }
@@ -127,17 +131,33 @@
 	if err != nil {
 		return nil, err
 	}
-	cl := rpc.NewClientWithCodec(&clientCodec{newFramer(&countedConn{Conn: conn, sent: &c.sent, received: &c.received})})
+	codec := &clientCodec{framer: newFramer(&countedConn{Conn: conn, sent: &c.sent, received: &c.received})}
+	codec.onLost = func() { c.lost(codec) }
+	cl := rpc.NewClientWithCodec(codec)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		cl.Close()
 		return nil, rpc.ErrShutdown
 	}
-	c.rpc = cl
+	c.rpc, c.codec = cl, codec
 	return cl, nil
 }
 
+// lost reports the loss of a connection. The next call opens another one.
+func (c *Client) lost(codec *clientCodec) {
+	c.mu.Lock()
+	closed := c.closed
+	if c.codec == codec {
+		c.rpc, c.codec = nil, nil
+	}
+	c.mu.Unlock()
+	codec.Close()
+	if !closed && c.OnLost != nil {
+		c.OnLost()
+	}
+}
+
 func (c *Client) current() (*rpc.Client, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -169,7 +169,11 @@
 
 func (c *serverCodec) Close() error { return c.close() }
 
-type clientCodec struct{ *framer }
+type clientCodec struct {
+	*framer
+	// onLost is told when the connection breaks; it may be nil.
+	onLost func()
+}
 
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
@@ -178,6 +182,9 @@
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var h responseHeader
 	if err := c.next(&h); err != nil {
+		if c.onLost != nil {
+			c.onLost()
+		}
 		return err
 	}
 	r.ServiceMethod = h.Method
--- a/internal/rpcnet/rpcnet_test.go
+++ b/internal/rpcnet/rpcnet_test.go
@@ -105,6 +105,36 @@
 	}
 }
 
+// TestOnLost guards against the end of a peer staying unnoticed until the next
+// call, and against the client's own Close being reported as a loss.
+func TestOnLost(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer()
+	if err := s.Register("Echo", Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(lis)
+	lost := make(chan struct{}, 2)
+	c := NewClient(lis.Addr().String())
+	c.OnLost = func() { lost <- struct{}{} }
+	var out Text
+	if err := c.Call(context.Background(), "Echo.Say", &Text{S: "a"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	<-lost
+	addr, _ := startServer(t)
+	d := NewClient(addr)
+	d.OnLost = func() { t.Error("the client's own Close is reported as a loss") }
+	if err := d.Call(context.Background(), "Echo.Say", &Text{S: "a"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	d.Close()
+}
+
 // TestCallToClosedPort guards against a refused connection being reported as
 // a call that may have reached the peer.
 func TestCallToClosedPort(t *testing.T) {
