sidecar: serve metrics on the operator port

Cause: the port answered 404 for /metrics, against the design; the registry was dropped. Change: the sidecar records run times and ended tasks by team and kind and serves them. TestOperator fails without the route.

--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -29,9 +29,9 @@
 	"drain-incomplete":    event.SidecarDrainTimeout,
 }
 
-// NewSidecar opens the ports of a sidecar.
-func NewSidecar(cfg sidecar.Config, _ *metrics.Registry) (*sidecar.Sidecar, error) {
-	return sidecar.New(cfg, sidecar.Deps{Log: logSidecar, Validate: resource.Decode})
+// NewSidecar opens the ports of a sidecar. The metrics may be nil.
+func NewSidecar(cfg sidecar.Config, m *metrics.Registry) (*sidecar.Sidecar, error) {
+	return sidecar.New(cfg, sidecar.Deps{Metrics: m, Log: logSidecar, Validate: resource.Decode})
 }
 
 func logSidecar(name string, format string, args ...any) {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 )
@@ -76,6 +77,8 @@
 type Deps struct {
 	// Log receives events; the default drops them.
 	Log func(event string, format string, args ...any)
+	// Metrics records the tasks that ended here and serves /metrics; it may be nil.
+	Metrics *metrics.Registry
 	// Clock returns the monotonic time since process start.
 	Clock func() time.Duration
 	// Rand is used by the core goroutine only.
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
+	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
@@ -111,11 +112,24 @@
 	go func() {
 		defer s.calls.Done()
 		result, refused := client.run(start, s.cfg.MaxRun)
+		s.measure(start.Class, &result)
 		s.post(func() { s.finish(client, result, refused) })
 	}()
 	return code
 }
 
+// measure records the end of a task in the metrics.
+func (s *Sidecar) measure(class wire.Class, r *wire.TaskResult) {
+	if s.deps.Metrics == nil {
+		return
+	}
+	m := s.deps.Metrics.Class(class.Team, class.Kind)
+	m.Tasks.Add(string(r.State), 1)
+	if r.State == jobapi.TaskCompleted || r.State == jobapi.TaskFailed {
+		m.Run.Record(time.Duration(r.RunMs) * time.Millisecond)
+	}
+}
+
 func (s *Sidecar) finish(client *backendClient, result wire.TaskResult, refused bool) {
 	now := s.deps.Clock()
 	if refused && client == s.backend.client {
--- a/internal/sidecar/fake_test.go
+++ b/internal/sidecar/fake_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/backend"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/sidecar"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -172,7 +173,7 @@
 	for _, e := range entries {
 		cfg.EntryAddresses = append(cfg.EntryAddresses, e.peer.Address)
 	}
-	s, err := sidecar.New(cfg, sidecar.Deps{})
+	s, err := sidecar.New(cfg, sidecar.Deps{Metrics: metrics.New(metrics.Options{Role: "sidecar"})})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -98,6 +98,9 @@
 
 func (s *Sidecar) operatorRoutes() *router.Router {
 	r := router.New()
+	if s.deps.Metrics != nil {
+		r.GET("/metrics", s.deps.Metrics.Handle)
+	}
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { s.answer(ctx, func() {}) })
 	r.POST("/v1/drain", func(ctx *fasthttp.RequestCtx) {
 		on := string(ctx.QueryArgs().Peek("drain")) != "false"
--- a/internal/sidecar/links_test.go
+++ b/internal/sidecar/links_test.go
@@ -131,6 +131,14 @@
 	if st.Slots != 4 || st.Credits != 4 || len(st.Entries) != 1 || st.Entries[0].Process != e.peer.Process || st.Backend.Name != "backend-1" {
 		t.Fatalf("state %+v", st)
 	}
+	scrape, err := http.Get(base + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	scrape.Body.Close()
+	if scrape.StatusCode != http.StatusOK {
+		t.Fatalf("metrics: status %d", scrape.StatusCode)
+	}
 	drain, err := http.Post(base+"/v1/drain", "application/json", nil)
 	if err != nil {
 		t.Fatal(err)
