--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomturn/cardamomturn/internal/backend"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/sidecar"
@@ -267,6 +269,46 @@
 	}
 }
 
+// TestBadRequests guards against bad input without a clear error, and against
+// it disturbing the next request.
+func TestBadRequests(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	many := `{"team":"studio","kind":"seat","tasks":[{}` + strings.Repeat(",{}", 330) + `]}`
+	future := ident.Prefix(*a.core.self.Load(), 1<<40) + "x"
+	for _, c := range []struct {
+		name, body string
+		status     int
+		says       string
+	}{
+		{"malformed", `{"team":`, 400, "malformed JSON"},
+		{"wrong type", `{"team":7}`, 400, "wrong type"},
+		{"unknown field", `{"teem":"studio"}`, 400, "teem"},
+		{"trailing data", `{"team":"studio","kind":"seat","tasks":[{}]}{}`, 400, "after the object"},
+		{"too many tasks", many, 422, "got 331"},
+		{"no tasks", `{"team":"studio","kind":"seat","tasks":[]}`, 422, "got 0"},
+		{"bad ID", `{"submissionID":"x","team":"studio","kind":"seat","tasks":[{}]}`, 400, "submission ID"},
+		{"future window", `{"submissionID":"` + future + `","team":"studio","kind":"seat","tasks":[{}]}`, 400, "not begun"},
+		{"too large", strings.Repeat("x", DefaultMaxBody+1), 413, "too large"},
+	} {
+		r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		r.SetRequestURI("http://" + a.CallerAddr() + "/v1/jobs")
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString(c.body)
+		if err := fasthttp.DoTimeout(r, w, 10*time.Second); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		if w.StatusCode() != c.status || !strings.Contains(string(w.Body()), c.says) || !strings.Contains(string(w.Body()), `"notRun":true`) {
+			t.Errorf("%s: status %d, %s", c.name, w.StatusCode(), w.Body())
+		}
+	}
+	if status, ans := post(t, a, "", 2, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Fatalf("a job after bad requests: %d %+v", status, ans)
+	}
+}
+
 // TestDeadSidecar guards against a job waiting for its deadline after the
 // sidecar that ran its task has ended.
 func TestDeadSidecar(t *testing.T) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -111,6 +111,12 @@
 
 // serve answers a request about a submission here or at its owner.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, id ident.ID, fwd *wire.ForwardRequest) {
+	if id.Owner == *e.core.self.Load() && id.Window > e.core.window.Load() {
+		httperr.Write(ctx, fasthttp.StatusBadRequest, httperr.Body{
+			Error: "the submission ID names a window that has not begun", Field: "submissionID", NotRun: true,
+		})
+		return
+	}
 	var a jobapi.JobAnswer
 	switch {
 	case !e.owns(id.Owner):
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
@@ -55,7 +57,33 @@
 	}
 	if err == fasthttp.ErrBodyTooLarge {
 		status, text = fasthttp.StatusRequestEntityTooLarge, "the request body is too large"
+		discard(ctx.Conn())
 	}
 	httperr.Write(ctx, status, httperr.Body{Error: text, NotRun: true})
 	ctx.SetConnectionClose()
 }
+
+const (
+	// discardBytes and discardTime bound what is read of a body that is too
+	// large; discardPause is the silence that ends it.
+	discardBytes = 64 << 20
+	discardTime  = 5 * time.Second
+	discardPause = 100 * time.Millisecond
+)
+
+// discard reads the rest of a request that is refused. A connection that is
+// closed with unread data is reset, and the client would not see the answer.
+func discard(conn net.Conn) {
+	buf := make([]byte, 64<<10)
+	end := time.Now().Add(discardTime)
+	for read := 0; read < discardBytes && time.Now().Before(end); {
+		if conn.SetReadDeadline(time.Now().Add(discardPause)) != nil {
+			return
+		}
+		n, err := conn.Read(buf)
+		read += n
+		if err != nil {
+			return
+		}
+	}
+}
