churn: let measured jobs end before the next fault

The measurement after a fault ended when the next fault began, so that fault hit the jobs that had arrived last.

A quiet time of 1.5 s now follows the measured second. The recovery bound of 3 s, the share of 0.95 and the bound of a timely response are as before. waste keeps its schedule.

--- a/test/experiment/runs/churn.go
+++ b/test/experiment/runs/churn.go
@@ -28,6 +28,10 @@
 	timelySlack  = 500 * time.Millisecond
 	// downTime is how long killed and paused processes stay away.
 	downTime = 2500 * time.Millisecond
+	// measureTime is how long arriving jobs are measured after the recovery from
+	// a fault, and quietTime the time in which they end before the next fault.
+	measureTime = time.Second
+	quietTime   = 1500 * time.Millisecond
 	// deadTime is longer than the silence after which an entry instance that is
 	// asked about a submission gives its owner up and recovers it.
 	deadTime = 5500 * time.Millisecond
@@ -97,21 +101,20 @@
 // downFor is how long the fault lasts.
 func (s step) downFor() time.Duration { return max(s.down, downTime) }
 
-// length is the time from the step to the next one: the longer of the fault
-// and the time to recover, and a while to measure.
-func (s step) length() time.Duration {
-	return max(s.downFor(), recoverWithin) + time.Second
-}
+// measured is the end of the measurement after a step.
+func (s step) measured() time.Duration { return max(s.downFor(), recoverWithin) + measureTime }
 
-// stepsWithin returns the steps that fit into a time, and when each begins.
-func stepsWithin(steps []step, d time.Duration) (fit []step, at []time.Duration) {
-	next := recoverWithin + time.Second
+// stepsWithin returns the steps that fit into a time, and when each begins. A
+// quiet time follows the measurement after each step.
+func stepsWithin(steps []step, d, quiet time.Duration) (fit []step, at []time.Duration) {
+	next := recoverWithin + measureTime
 	for _, s := range steps {
-		if len(fit) > 0 && next+s.length() > d {
+		length := s.measured() + quiet
+		if len(fit) > 0 && next+length > d {
 			continue
 		}
 		fit, at = append(fit, s), append(at, next)
-		next += s.length()
+		next += length
 	}
 	return fit, at
 }
@@ -129,7 +132,7 @@
 	if len(r.Faults) > 0 {
 		steps = slices.DeleteFunc(steps, func(s step) bool { return !slices.Contains(r.Faults, s.name) })
 	}
-	steps, at := stepsWithin(steps, r.Duration)
+	steps, at := stepsWithin(steps, r.Duration, quietTime)
 	p, err := r.start(d, d.Document())
 	if err != nil {
 		return err
@@ -250,13 +253,13 @@
 }
 
 // goodput sets the share of timely completions among the jobs that arrive
-// from the recovery bound after each fault until the next one, which includes
-// the later part of a fault that lasts longer than the bound.
+// from the recovery bound after each fault until quietTime before the next one,
+// which includes the later part of a fault that lasts longer than the bound.
 func (r *run) goodput(d load.Deployment, jobs []load.Arrival, out []cluster.Outcome, steps []step, at []time.Duration) {
 	ideal := load.Ideal(d, jobs)
 	worst := math.Inf(1) // not a figure if no job was measured
 	for n, s := range steps {
-		from, to := at[n]+recoverWithin, at[n]+s.length()
+		from, to := at[n]+recoverWithin, at[n]+s.measured()
 		timely, all := 0, 0
 		for i, o := range out {
 			if o.At < from || o.At >= to {
--- a/test/experiment/runs/runs_test.go
+++ b/test/experiment/runs/runs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -124,3 +125,23 @@
 		t.Fatalf("got %v and %d, want [3s] and 1", times, never)
 	}
 }
+
+// TestStepsWithin guards against jobs that are measured for one fault and still
+// run when the next one hits them, and against a step beyond the duration.
+func TestStepsWithin(t *testing.T) {
+	d := load.Torno("low")
+	rnd := rand.New(rand.NewPCG(1, 1))
+	steps := append(churnSteps(d, rnd), longSteps(d, rnd)...)
+	fit, at := stepsWithin(steps, experiments["churn"].Duration, quietTime)
+	if len(fit) != len(steps) {
+		t.Fatalf("%d of %d steps fit", len(fit), len(steps))
+	}
+	for i := 1; i < len(at); i++ {
+		if at[i] != at[i-1]+fit[i-1].measured()+quietTime || fit[i-1].downFor() > fit[i-1].measured() {
+			t.Errorf("%s at %v is followed by %s at %v", fit[i-1].name, at[i-1], fit[i].name, at[i])
+		}
+	}
+	if short, _ := stepsWithin(steps, time.Second, quietTime); len(short) != 1 {
+		t.Errorf("%d steps within a second", len(short))
+	}
+}
--- a/test/experiment/runs/waste.go
+++ b/test/experiment/runs/waste.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	steps, at := stepsWithin(steps, r.Duration)
+	steps, at := stepsWithin(steps, r.Duration, 0)
 	before := p.c.Counters()
 	var wg sync.WaitGroup
 	var failed error
