--- a/test/experiment/cluster/cluster.go
+++ b/test/experiment/cluster/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/test/experiment/history"
 	"github.com/cardamomturn/cardamomturn/test/experiment/load"
@@ -99,4 +100,28 @@
 	Starts  int64
 	Wasted  int64
 	Control int64
+	// Waste divides Wasted by cause.
+	Waste dispatch.Waste
+}
+
+// Plus returns the sum of two counts.
+func (a Counters) Plus(b Counters) Counters { return a.combine(b, 1) }
+
+// Minus returns the difference of two counts.
+func (a Counters) Minus(b Counters) Counters { return a.combine(b, -1) }
+
+func (a Counters) combine(b Counters, sign int64) Counters {
+	v, w := a.Waste, b.Waste
+	return Counters{
+		Starts: a.Starts + sign*b.Starts, Wasted: a.Wasted + sign*b.Wasted, Control: a.Control + sign*b.Control,
+		Waste: dispatch.Waste{
+			RefusedStarts:   v.RefusedStarts + sign*w.RefusedStarts,
+			EmptyRecalls:    v.EmptyRecalls + sign*w.EmptyRecalls,
+			ReturnedCredits: v.ReturnedCredits + sign*w.ReturnedCredits,
+			DemandMessages:  v.DemandMessages + sign*w.DemandMessages,
+			Fences:          v.Fences + sign*w.Fences,
+			Duplicates:      v.Duplicates + sign*w.Duplicates,
+			ExpiredCredits:  v.ExpiredCredits + sign*w.ExpiredCredits,
+		},
+	}
 }
--- a/test/experiment/live/live.go
+++ b/test/experiment/live/live.go
@@ -225,10 +225,10 @@
 	sum := c.total
 	c.mu.Unlock()
 	for _, n := range c.entries {
-		sum = plus(sum, n.counters())
+		sum = sum.Plus(n.counters())
 	}
 	for _, n := range c.sidecars {
-		sum = plus(sum, n.counters())
+		sum = sum.Plus(n.counters())
 	}
 	return sum
 }
@@ -237,11 +237,7 @@
 func (c *Cluster) keep(n cluster.Counters) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.total = plus(c.total, n)
-}
-
-func plus(a, b cluster.Counters) cluster.Counters {
-	return cluster.Counters{Starts: a.Starts + b.Starts, Wasted: a.Wasted + b.Wasted, Control: a.Control + b.Control}
+	c.total = c.total.Plus(n)
 }
 
 // Close implements cluster.Cluster.
--- a/test/experiment/live/nodes.go
+++ b/test/experiment/live/nodes.go
@@ -222,6 +222,7 @@
 		out.Starts += c.Starts
 	}
 	w := s.Waste
+	out.Waste = w
 	out.Wasted = w.RefusedStarts + w.EmptyRecalls + w.ReturnedCredits + w.DemandMessages + w.Fences + w.Duplicates
 	return out
 }
--- a/test/experiment/runs/waste.go
+++ b/test/experiment/runs/waste.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
 	"github.com/cardamomturn/cardamomturn/test/experiment/load"
 	"github.com/cardamomturn/cardamomturn/test/experiment/report"
 )
@@ -54,17 +55,38 @@
 	}()
 	p.drive(load.Generate(d, s, r.Seed))
 	wg.Wait()
-	after := p.c.Counters()
+	spent := p.c.Counters().Minus(before)
 	if _, err := p.close(); err != nil {
 		return err
 	}
-	starts := int(after.Starts - before.Starts)
+	starts := int(spent.Starts)
 	r.rep.Sizes[name+".starts"] = float64(starts)
-	r.rep.Figure(name+".wastedPerStart", share(int(after.Wasted-before.Wasted), starts))
+	r.rep.Figure(name+".wastedPerStart", share(int(spent.Wasted), starts))
 	r.rep.Target(name+".wastedPerStart", report.AtMost, bound)
-	r.rep.Figure(name+".controlPerStart", share(int(after.Control-before.Control), starts))
+	r.rep.Figure(name+".controlPerStart", share(int(spent.Control), starts))
+	r.wasteByCause(name, spent)
 	return errors.Trace(failed)
 }
 
+// wasteByCause sets a figure per started task for each cause. Credits that
+// expire at their holder cost no message of the task path; their number
+// explains the others.
+func (r *run) wasteByCause(name string, c cluster.Counters) {
+	for _, cause := range []struct {
+		name  string
+		count int64
+	}{
+		{"refusedStarts", c.Waste.RefusedStarts},
+		{"emptyRecalls", c.Waste.EmptyRecalls},
+		{"returnedCredits", c.Waste.ReturnedCredits},
+		{"demandMessages", c.Waste.DemandMessages},
+		{"fences", c.Waste.Fences},
+		{"duplicates", c.Waste.Duplicates},
+		{"expiredCredits", c.Waste.ExpiredCredits},
+	} {
+		r.rep.Figure(name+".waste."+cause.name, share(int(cause.count), int(c.Starts)))
+	}
+}
+
 // scale returns a share of a duration.
 func scale(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
