slots: serve a part of the demand, keep idle slots free at times of demand

Cause: each sidecar granted or recalled credits for all waiting tasks of a summary, so ten sidecars did so for the same few tasks; and all idle slots were granted in advance, so a job of many tasks needed most of its credits recalled. Change: a demand summary names the slots of the pool, and a sidecar serves its part of them. While there was demand within the last second, a quarter of the idle slots is granted in advance and the rest stays free. Without demand, or to a lone entry instance, all are granted as before. The demand summary grows by two to four bytes per class; no message is added.

--- a/internal/decision/dispatch/demand.go
+++ b/internal/decision/dispatch/demand.go
@@ -51,7 +51,7 @@
 		oldest, _ := c.queue.Oldest()
 		sum = append(sum, wire.Demand{
 			Class: c.key, Waiting: c.queue.Waiting(), OldestMs: milliseconds(m.now - oldest),
-			Rank: c.queue.Rank(), Weight: c.queue.Weight(), RunMs: milliseconds(c.run.P50()),
+			Rank: c.queue.Rank(), Weight: c.queue.Weight(), RunMs: milliseconds(c.run.P50()), Slots: c.pool.slots,
 		})
 	}
 	return sum
--- a/internal/decision/slots/choose.go
+++ b/internal/decision/slots/choose.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -92,6 +93,7 @@
 		if s.Waiting <= 0 {
 			continue
 		}
+		m.wantedAt = now
 		cl := m.class(now, s.Class)
 		cl.rank = s.Rank
 		if s.Weight > 0 && s.Weight <= maxWeight {
@@ -99,7 +101,7 @@
 		}
 		cl.cost = float64(min(max(s.RunMs, 1), maxMs))
 		// The summary may have been made before the last grants arrived.
-		left := max(s.Waiting-e.granted(cl), 0)
+		left := max(m.part(s)-e.granted(cl), 0)
 		cl.waiting += left
 		e.demand = append(e.demand, demand{class: cl, reported: s.Waiting, left: left,
 			oldest: time.Duration(min(max(s.OldestMs, 0), maxMs)) * time.Millisecond, at: now})
@@ -111,6 +113,18 @@
 	}
 }
 
+// part returns how many of the waiting tasks of a summary this sidecar serves:
+// its part of the slots. Without that bound each sidecar of a fleet that is not
+// full would grant or recall credits for the same few tasks. The parts add up
+// to at least all tasks.
+func (m *Machine) part(s wire.Demand) int {
+	if s.Slots <= m.slots || m.slots == 0 {
+		return s.Waiting
+	}
+	part := math.Ceil(float64(s.Waiting) * float64(m.slots) / float64(s.Slots))
+	return min(s.Waiting, int(part))
+}
+
 // granted counts the unspent credits granted on demand of a class.
 func (e *entry) granted(cl *class) int {
 	n := 0
--- a/internal/decision/slots/distribute.go
+++ b/internal/decision/slots/distribute.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// pregrantedOf is the number of idle slots of which one is granted before there
+// is demand for it, at times of demand. The more are granted, the more have to be recalled when
+// jobs of many tasks arrive at one entry instance.
+const pregrantedOf = 4
+
 // distribute grants the free slots: first on demand, and when no demand is
 // left, evenly as idle credits.
 func (m *Machine) distribute(now time.Duration) {
@@ -19,7 +24,7 @@
 		m.recallForDemand(now)
 		return
 	}
-	for m.busy() < m.slots {
+	for m.spare(now) {
 		e := m.least(now)
 		if e == nil {
 			return
@@ -28,10 +33,25 @@
 	}
 }
 
+// spare reports whether another idle credit may be granted. At times of demand
+// most idle slots stay free, so that any entry instance gets them with one
+// message and no recall. Without demand, or to a lone entry instance, all are
+// granted.
+func (m *Machine) spare(now time.Duration) bool {
+	if m.busy() >= m.slots {
+		return false
+	}
+	if len(m.order) <= 1 || now-m.wantedAt > m.cfg.ClassMemory {
+		return true
+	}
+	idle := m.slots - m.running
+	return len(m.credits)*pregrantedOf < idle
+}
+
 // grantAfter gives a slot freed by a task of e to e again if nobody has
 // demand and e holds no more than its even part.
 func (m *Machine) grantAfter(now time.Duration, e *entry) {
-	if m.waiting(now) || !m.eligible(now, e) {
+	if m.waiting(now) || !m.eligible(now, e) || !m.spare(now) {
 		return
 	}
 	if l := m.least(now); l != nil && len(e.credits) <= len(l.credits)+1 {
--- a/internal/decision/slots/machine.go
+++ b/internal/decision/slots/machine.go
@@ -95,6 +95,9 @@
 	// balancedAt is the time of the last recall to even out idle credits.
 	balancedAt time.Duration
 
+	// wantedAt is the time of the last summary with waiting tasks.
+	wantedAt time.Duration
+
 	classes map[wire.Class]*class
 	list    []*class
 	virtual float64
@@ -117,7 +120,7 @@
 	setDefault(&cfg.ClassMemory, DefaultClassMemory)
 	setDefault(&cfg.RecallEvery, DefaultRecallEvery)
 	return &Machine{
-		cfg: cfg, rnd: rnd, reserve: 1, listed: 1,
+		cfg: cfg, rnd: rnd, reserve: 1, listed: 1, wantedAt: -cfg.ClassMemory - 1,
 		entries: map[ident.Process]*entry{},
 		credits: map[wire.Credit]*credit{},
 		classes: map[wire.Class]*class{},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -86,6 +86,9 @@
 	Weight float64 `msgpack:"g"`
 	// RunMs is the estimated run time of a task in milliseconds.
 	RunMs int64 `msgpack:"m"`
+	// Slots is the number of slots of all workers that could run the tasks. A
+	// sidecar takes the part of its own slots in them; zero means all tasks.
+	Slots int `msgpack:"s,omitempty"`
 }
 
 // MaxDemand is the largest number of classes in one demand summary.
--- a/test/experiment/runs/phase.go
+++ b/test/experiment/runs/phase.go
@@ -203,7 +203,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	before := p.c.Counters()
 	out := p.drive(jobs)
+	spent := p.c.Counters().Minus(before)
+	r.rep.Figure(d.Name+".wastedPerStart", share(int(spent.Wasted), int(spent.Starts)))
+	r.wasteByCause(d.Name, spent)
 	h, err := p.close()
 	return out, h, err
 }
