experiment: measure the starts per core of an entry instance

The entry instance runs in a process of its own, started by the experiment from its own program and ended through its input.

--- a/test/experiment/main.go
+++ b/test/experiment/main.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v2"
 
+	"github.com/cardamomturn/cardamomturn/test/experiment/entryproc"
 	"github.com/cardamomturn/cardamomturn/test/experiment/load"
 	"github.com/cardamomturn/cardamomturn/test/experiment/report"
 	"github.com/cardamomturn/cardamomturn/test/experiment/runs"
@@ -22,6 +23,7 @@
 		Name:  "experiment",
 		Usage: "run load and failure experiments",
 		Commands: []*cli.Command{
+			{Name: entryproc.Command, Hidden: true, Action: func(*cli.Context) error { return entryproc.Serve(os.Stdin) }},
 			{Name: "list", Usage: "list the experiments", Action: list},
 			{
 				Name: "run", Usage: "run one experiment", ArgsUsage: "NAME", Action: run,
