rpcnet: test that messages may gain fields

The library refuses an array whose length differs from the number of fields, so processes of two versions could not talk during an upgrade. The test shows that the map form allows it; it fails with the array form.

--- a/internal/rpcnet/rpcnet_test.go
+++ b/internal/rpcnet/rpcnet_test.go
@@ -120,3 +120,34 @@
 		t.Fatalf("call to a closed port: %v", err)
 	}
 }
+
+// TestAppendedField guards against processes of two versions that can't talk:
+// a message with an appended field is read by the earlier version and the
+// reverse.
+func TestAppendedField(t *testing.T) {
+	type older struct{ A, B string }
+	type newer struct{ A, B, C string }
+	send := func(in, out any) {
+		t.Helper()
+		a, b := net.Pipe()
+		defer a.Close()
+		defer b.Close()
+		go newFramer(a).write(requestHeader{Method: "m", Seq: 1}, in)
+		f := newFramer(b)
+		var h requestHeader
+		if err := f.next(&h); err != nil || h.Method != "m" || h.Seq != 1 {
+			t.Fatalf("header %+v, %v", h, err)
+		}
+		if err := f.body(out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var o older
+	if send(&newer{"a", "b", "c"}, &o); o != (older{"a", "b"}) {
+		t.Fatalf("the earlier version reads %+v", o)
+	}
+	var n newer
+	if send(&older{"a", "b"}, &n); n != (newer{"a", "b", ""}) {
+		t.Fatalf("the later version reads %+v", n)
+	}
+}
