--- a/test/experiment/live/live.go
+++ b/test/experiment/live/live.go
@@ -168,6 +168,9 @@
 
 // Pause implements cluster.Cluster.
 func (c *Cluster) Pause(r cluster.Role, i int) error {
+	if c.net.direct() {
+		return errors.NotSupportedf("pause in a cluster without delays")
+	}
 	switch r {
 	case cluster.Entry:
 		c.entries[i].pause()
@@ -223,7 +226,13 @@
 }
 
 // CallerAddress implements cluster.Cluster.
-func (c *Cluster) CallerAddress(i int) string { return c.entries[i].callers.Address() }
+func (c *Cluster) CallerAddress(i int) string {
+	n := c.entries[i]
+	if c.net.direct() {
+		return n.cfg.CallerAddress
+	}
+	return n.callers.Address()
+}
 
 // OperatorAddress implements cluster.Cluster.
 func (c *Cluster) OperatorAddress(i int) string { return c.entries[i].operator }
@@ -256,10 +265,10 @@
 	sum := c.total
 	c.mu.Unlock()
 	for _, n := range c.entries {
-		sum = plus(sum, n.counters())
+		sum = sum.Plus(n.counters())
 	}
 	for _, n := range c.sidecars {
-		sum = plus(sum, n.counters())
+		sum = sum.Plus(n.counters())
 	}
 	return sum
 }
@@ -268,11 +277,7 @@
 func (c *Cluster) keep(n cluster.Counters) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.total = plus(c.total, n)
-}
-
-func plus(a, b cluster.Counters) cluster.Counters {
-	return cluster.Counters{Starts: a.Starts + b.Starts, Wasted: a.Wasted + b.Wasted, Control: a.Control + b.Control}
+	c.total = c.total.Plus(n)
 }
 
 // Close implements cluster.Cluster.
