escrow: tell moved share at once and use it where it arrives

Cause: share that was given on the reply to a heartbeat was told to the peer only with the next heartbeat, up to 500 ms later. Also, a peer was asked again only every 20 to 500 ms, only half of the idle share was given, all rate share could be spent at one instant, and a decrease left other holders at their old shares, because the writer's negative share asked for nothing. Ruled out: the sliding second (0.3% of the rate), blocked classes not woken.

Change: peers remember demand for a second and give share as it becomes free; the receiver is told at once. Firm demand (only this limit holds the tasks back) entitles to an equal part of share in use. Share that arrives is not given on before placement. Heartbeats carry only totals that the peer has not acknowledged.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -50,6 +50,16 @@
 	b.c.e.wg.Go(func() { b.loop(addr, poked) })
 }
 
+// pokeOne has the heartbeat to one address sent now.
+func (b *beats) pokeOne(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case b.addrs[addr] <- struct{}{}:
+	default:
+	}
+}
+
 // poke has all heartbeats sent now.
 func (b *beats) poke() {
 	b.mu.Lock()
@@ -100,7 +110,12 @@
 	if err := client.Call(ctx, wire.ServiceEntry+".PeerBeat", &req, &reply); err != nil {
 		return nil, err
 	}
-	b.c.post(func(now time.Duration) { b.c.peerBeat(now, &reply) })
+	b.c.post(func(now time.Duration) {
+		if reply.Entry.Process == to {
+			b.c.ledger.Acked(to, reply.Allocation, req.Given)
+		}
+		b.c.peerBeat(now, &reply)
+	})
 	b.c.e.pullIfBehind(client, reply.Revisions)
 	return &reply, nil
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -60,6 +60,8 @@
 	dueTick   time.Duration
 	document  *resource.Document
 	ledger    *escrow.Ledger
+	// offer is true if limit share should be offered to peers at the next flush.
+	offer bool
 	// allocation is the newest limit allocation; it outlives an incarnation.
 	allocation *escrow.Allocation
 	// missing holds when a holder of limit shares was first found not live.
@@ -237,6 +239,7 @@
 	c.checkLease(now)
 	c.ledger.Tick(now)
 	c.machine.Tick(now)
+	c.offer = true
 	for _, l := range c.losses.Due(now, c.sidecars.In(membership.Live)) {
 		c.e.log(lossEvents[l.Scope], "place", l.Place, "members", l.Members)
 	}
@@ -299,20 +302,18 @@
 	if c.ledger.Changed() {
 		c.machine.Wake(now)
 	}
-	if c.ledger.Asking() {
-		c.e.beats.poke()
-	}
 	for {
 		actions := c.machine.Actions()
 		d := c.machine.Demand(now)
 		c.demand.Store(&d)
 		if len(actions) == 0 {
-			return
+			break
 		}
 		for _, a := range actions {
 			c.carryOut(now, a)
 		}
 	}
+	c.moveShares(now)
 }
 
 func (c *core) carryOut(now time.Duration, a dispatch.Action) {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -21,7 +21,9 @@
 // limitsTold adds the limit shares to a heartbeat.
 func (c *core) limitsTold(now time.Duration, to ident.Process, b *wire.PeerBeat) {
 	b.Given = c.ledger.Given(to)
-	b.Want = c.ledger.Wants(now)
+	if !c.suspended {
+		b.Want = c.ledger.Wants(now)
+	}
 	b.Flows = c.ledger.Flows()
 	if c.allocation != nil {
 		b.Allocation = c.allocation.Seq
@@ -40,6 +42,33 @@
 	}
 }
 
+// moveShares asks the peers for limit share and tells those that were given
+// some. Share is offered after waiting tasks were placed, once per tick.
+func (c *core) moveShares(now time.Duration) {
+	if c.ledger.Asking() {
+		c.e.beats.poke()
+	}
+	if c.offer {
+		c.offer = false
+		c.ledger.Offer(now)
+	}
+	for _, holder := range c.ledger.Untold() {
+		if m, ok := c.entries.Get(parseHolder(holder)); ok {
+			c.e.beats.pokeOne(m.Peer.Address)
+		}
+	}
+}
+
+// parseHolder returns the incarnation with the given text form, or the zero
+// value.
+func parseHolder(holder string) ident.Process {
+	id, err := ident.Parse(holder + ".0.x")
+	if err != nil {
+		return ident.Process{}
+	}
+	return id.Owner
+}
+
 // pullAllocation reads the limit allocation from a peer.
 func (e *Entry) pullAllocation(peer *rpcnet.Client) {
 	e.wg.Go(func() {
@@ -137,9 +166,8 @@
 // settled reports whether a holder is dead and its tasks have ended. It
 // declares a holder dead that is missing for long enough.
 func (c *core) settled(now time.Duration, holder string) bool {
-	id, err := ident.Parse(holder + ".0.x")
-	p := id.Owner
-	if err != nil || p == *c.self.Load() {
+	p := parseHolder(holder)
+	if p.IsZero() || p == *c.self.Load() {
 		return false
 	}
 	m, known := c.entries.Get(p)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -353,6 +353,10 @@
 	Limit string `msgpack:"l"`
 	Epoch uint64 `msgpack:"e"`
 	Want  int64  `msgpack:"w"`
+	// Firm is the part of Want that no other limit holds back; it entitles to
+	// share that the receiver uses itself. Share is the sender's share.
+	Firm  int64 `msgpack:"f,omitempty"`
+	Share int64 `msgpack:"s,omitempty"`
 }
 
 // ShareFlow is what a live holder of a limit gave to and received from a dead one.
