entry: return a dead holder's limit share once its sidecars have no task of it

Cause: the share of a dead entry instance stayed unused for the longest deadline of any kind (30 s in the deployments) plus 5 s after it was declared dead, which took 20 s of silence.

Change: after the self-lease of the dead incarnation, the process that writes the allocation fences it at each sidecar that it listed or that any live entry instance lists or listed lately, and asks for its running tasks (new field Busy of FenceOwnerReply). The share is free when all have answered none. A sidecar that is unreachable, silent, restarted or gone keeps the deadline rule. An incarnation of the own region that no other live entry instance lists is declared dead after 3 s more of silence; with two entry instances the 20 s stay, because each may be the one that is cut off. The deadline rule now uses the longest deadline ever in force here, and the default deadline for kinds without one.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -66,6 +66,12 @@
 	allocation *escrow.Allocation
 	// missing holds when a holder of limit shares was first found not live.
 	missing map[string]time.Duration
+	// reclaims holds what is known of dead holders, and deadline the longest
+	// deadline of any kind so far.
+	reclaims map[ident.Process]*reclaim
+	deadline time.Duration
+	// unlisted are sidecars that a peer listed earlier.
+	unlisted map[ident.Process]listing
 
 	// self, window, demand and view are read by other goroutines.
 	self     atomic.Pointer[ident.Process]
@@ -86,8 +92,8 @@
 		links:   map[ident.Process]*attached{},
 		peers:   map[ident.Process]*peerState{},
 		gone:    map[ident.Process]time.Duration{},
-		missing: map[string]time.Duration{},
-		losses:  membership.NewGrouper(time.Second),
+		missing: map[string]time.Duration{}, reclaims: map[ident.Process]*reclaim{}, unlisted: map[ident.Process]listing{},
+		losses: membership.NewGrouper(time.Second),
 	}
 	bounds := membership.Config{SilentAfter: e.cfg.SilentAfter, DeadAfter: e.cfg.GoneAfter, Retain: e.cfg.retention()}
 	c.sidecars = membership.New(bounds)
@@ -210,6 +216,7 @@
 	c.machine.Abandon(now)
 	c.flush(now)
 	c.retire(old)
+	c.noteSidecars(old, c.linked())
 	for p := range c.links {
 		c.dropSidecar(p)
 	}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -15,7 +15,7 @@
 )
 
 // settleMargin is added to the longest deadline before the share of a dead
-// holder is taken back.
+// holder is taken back without an answer of its sidecars.
 const settleMargin = 2 * time.Second
 
 // limitsTold adds the limit shares to a heartbeat.
@@ -141,7 +141,9 @@
 // more and their tasks have ended.
 func (c *core) settle(now time.Duration, from *escrow.Allocation) *escrow.Allocation {
 	var dead []string
-	for holder := range from.Holders() {
+	holders := from.Holders()
+	c.forgetReclaims(holders)
+	for holder := range holders {
 		if c.settled(now, holder) {
 			dead = append(dead, holder)
 		}
@@ -187,7 +189,7 @@
 		}
 		return false
 	}
-	return now-max(since, m.Changed) > c.longestDeadline()+c.e.cfg.CreditTTL+settleMargin
+	return c.ended(now, p, max(since, m.Changed))
 }
 
 // replaced reports whether a live process has taken the instance's name.
@@ -204,20 +206,27 @@
 }
 
 // missingBound is the time after which a missing holder is declared dead. A
-// holder of another region may only be cut off.
+// holder of another region may only be cut off. One of the own region that no
+// other entry instance hears either is declared dead early.
 func (c *core) missingBound(m membership.Member, known bool) time.Duration {
 	if known && m.Peer.Region == c.e.cfg.Region {
+		if c.unheard(m.Peer.Process) {
+			return c.e.cfg.SilentAfter
+		}
 		return c.e.cfg.GoneAfter
 	}
 	return c.e.cfg.ReclaimAfter
 }
 
-func (c *core) longestDeadline() time.Duration {
-	longest := int64(0)
-	for _, k := range c.document.Kinds {
-		longest = max(longest, k.Spec.DeadlineMs)
+// unheard reports whether there are other live entry instances and none of
+// them lists an incarnation as live.
+func (c *core) unheard(p ident.Process) bool {
+	for _, ps := range c.peers {
+		if ps.entries[p] {
+			return false
+		}
 	}
-	return time.Duration(longest) * time.Millisecond
+	return len(c.entries.In(membership.Live)) > 0
 }
 
 // handOver gives the idle limit shares to a live peer before this instance
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -21,6 +21,8 @@
 	sidecars  []wire.SidecarRef
 	hash      uint64
 	draining  bool
+	// entries are the incarnations that the peer lists as live.
+	entries map[ident.Process]bool
 	// dead are the entry incarnations that the peer holds dead, and flows its
 	// final limit flows with them.
 	dead  []ident.Process
@@ -140,10 +142,13 @@
 	}
 	ps.window, ps.revisions, ps.draining = b.Window, b.Revisions, b.Draining
 	if b.SidecarsHash != ps.hash && hashRefs(b.Sidecars) == b.SidecarsHash {
+		c.unlist(now, ps.sidecars)
 		ps.sidecars, ps.hash = b.Sidecars, b.SidecarsHash
 	}
 	c.e.config.NoteKnown(b.Revisions.Known)
+	ps.entries = make(map[ident.Process]bool, len(b.Entries))
 	for _, q := range b.Entries {
+		ps.entries[q.Process] = true
 		c.hearOf(q)
 	}
 	for _, q := range b.Dead {
@@ -182,6 +187,9 @@
 		c.losses.Add(now, t.Member)
 		c.ledger.Close(p)
 		if ps := c.peers[p]; ps != nil {
+			if ps.hash != 0 {
+				c.noteSidecars(p, ps.sidecars)
+			}
 			go ps.client.Close()
 			delete(c.peers, p)
 		}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -28,6 +28,9 @@
 	return v.s.ask(func() {
 		for _, owner := range req.Owners {
 			v.s.fenceOwner(v.s.deps.Clock(), owner)
+			if v.s.m.Owns(owner) {
+				reply.Busy = append(reply.Busy, owner)
+			}
 		}
 		reply.Sidecar = v.s.self.Process
 	})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -288,6 +288,8 @@
 // FenceOwnerReply names the incarnation that has fenced the owners.
 type FenceOwnerReply struct {
 	Sidecar ident.Process `msgpack:"s"`
+	// Busy are those of the owners whose tasks still run here.
+	Busy []ident.Process `msgpack:"b,omitempty"`
 }
 
 // LedgerRequest asks for the ledger entries of a submission.
