--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -293,6 +293,8 @@
 // FenceOwnerReply names the incarnation that has fenced the owners.
 type FenceOwnerReply struct {
 	Sidecar ident.Process `msgpack:"s"`
+	// Busy are those of the owners whose tasks still run here.
+	Busy []ident.Process `msgpack:"b,omitempty"`
 }
 
 // LedgerRequest asks for the ledger entries of a submission.
@@ -360,6 +362,10 @@
 	Limit string `msgpack:"l"`
 	Epoch uint64 `msgpack:"e"`
 	Want  int64  `msgpack:"w"`
+	// Firm is the part of Want that no other limit holds back; it entitles to
+	// share that the receiver uses itself. Share is the sender's share.
+	Firm  int64 `msgpack:"f,omitempty"`
+	Share int64 `msgpack:"s,omitempty"`
 }
 
 // ShareFlow is what a live holder of a limit gave to and received from a dead one.
