experiment: slopes on a fleet of real processes

Measures control traffic, processor time, memory, configuration time, store calls and starts of real cardamomturnd processes against the sizes of the fleet, as least squares lines, with plots and a table.

--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/membership"
 	"github.com/cardamomturn/cardamomturn/internal/entry/filter/httperr"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
@@ -26,6 +27,9 @@
 	Times   []metrics.ClassStats `json:"times,omitempty"`
 	// InternalBytes counts the bytes that the internal port sent and received.
 	InternalBytes Bytes `json:"internalBytes"`
+	// Traffic counts all connections between own processes.
+	Traffic rpcnet.Traffic `json:"traffic"`
+	Memory  metrics.Memory `json:"memory"`
 }
 
 // Bytes counts sent and received bytes.
@@ -83,5 +87,8 @@
 }
 
 func (e *Entry) handleStats(ctx *fasthttp.RequestCtx) {
-	httperr.WriteJSON(ctx, fasthttp.StatusOK, e.Stats())
+	s := e.Stats()
+	s.Traffic = rpcnet.TotalTraffic()
+	s.Memory = metrics.ReadMemory(ctx.QueryArgs().GetBool("gc"))
+	httperr.WriteJSON(ctx, fasthttp.StatusOK, s)
 }
--- a/internal/rpcnet/client.go
+++ b/internal/rpcnet/client.go
@@ -177,11 +177,13 @@
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	traffic.receivedBytes.Add(int64(n))
 	return n, err
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.sent.Add(int64(n))
+	traffic.sentBytes.Add(int64(n))
 	return n, err
 }
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -80,6 +80,7 @@
 	if _, err := io.ReadFull(f.br, f.in); err != nil {
 		return err
 	}
+	traffic.receivedFrames.Add(1)
 	f.dec.Reset(bytes.NewReader(f.in))
 	if err := f.dec.Decode(header); err != nil {
 		return errors.Annotatef(ErrFrame, "header: %v", err)
@@ -119,6 +120,7 @@
 		return errors.Annotatef(ErrFrame, "length %d, allowed 1 to %d", n, MaxFrame)
 	}
 	binary.BigEndian.PutUint32(f.out.Bytes(), uint32(n))
+	traffic.sentFrames.Add(1)
 	_, err := f.conn.Write(f.out.Bytes())
 	return err
 }
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -8,6 +8,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/metrics"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/sidecar/announce"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
@@ -32,6 +34,11 @@
 	Draining  bool           `json:"draining"`
 	Revisions wire.Revisions `json:"revisions"`
 	Entries   []EntryState   `json:"entries"`
+	// LedgerTasks is the number of started tasks in the ledger.
+	LedgerTasks int `json:"ledgerTasks"`
+	// Traffic counts all connections between own processes.
+	Traffic rpcnet.Traffic `json:"traffic"`
+	Memory  metrics.Memory `json:"memory"`
 }
 
 // EntryState is the state of the link to one entry instance.
@@ -109,6 +116,8 @@
 			writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{err.Error()})
 			return
 		}
+		state.Traffic = rpcnet.TotalTraffic()
+		state.Memory = metrics.ReadMemory(ctx.QueryArgs().GetBool("gc"))
 		writeJSON(ctx, fasthttp.StatusOK, state)
 	})
 	return r
@@ -141,7 +150,7 @@
 	st := State{
 		Process: s.self.Process, Backend: s.backend.announced(), Slots: s.m.Slots(), Running: s.m.Running(),
 		Free: free, Credits: held + foreign, Draining: s.draining || s.closing, Revisions: s.config.revisions(),
-		Entries: []EntryState{},
+		Entries: []EntryState{}, LedgerTasks: s.m.LedgerSize(),
 	}
 	for _, l := range s.links {
 		e := EntryState{Address: l.addr, Process: l.peer.Process, Attached: l.attached, SilentMs: (now - l.lastHeard).Milliseconds()}
--- a/test/experiment/main.go
+++ b/test/experiment/main.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomturn/cardamomturn/test/experiment/load"
 	"github.com/cardamomturn/cardamomturn/test/experiment/report"
 	"github.com/cardamomturn/cardamomturn/test/experiment/runs"
+	"github.com/cardamomturn/cardamomturn/test/experiment/slopes"
 )
 
 // exitFailed is the exit code of a run with a violation or a missed target.
@@ -25,13 +26,13 @@
 			{Name: "list", Usage: "list the experiments", Action: list},
 			{
 				Name: "run", Usage: "run one experiment", ArgsUsage: "NAME", Action: run,
-				Flags: []cli.Flag{
+				Flags: append(slopesFlags(),
 					&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load and the faults"},
 					&cli.StringFlag{Name: "trace", Usage: "write a trace to this file"},
 					&cli.BoolFlag{Name: "json", Usage: "print JSON instead of a table"},
 					&cli.BoolFlag{Name: "short", Usage: "run a quarter of the duration"},
 					&cli.DurationFlag{Name: "duration", Usage: "duration of the load"},
-				},
+				),
 			},
 		},
 	}
@@ -59,6 +60,7 @@
 		}
 		fmt.Fprintf(c.App.Writer, "%-14s %4.0f s  %s\n", name, e.Duration.Seconds(), e.About)
 	}
+	fmt.Fprintf(c.App.Writer, "%-14s %4.0f s  %s\n", slopesName, slopes.Length.Seconds(), slopes.About)
 	return nil
 }
 
@@ -66,6 +68,9 @@
 	if c.NArg() != 1 {
 		return errors.BadRequestf("want one experiment name, got %d arguments;", c.NArg())
 	}
+	if c.Args().First() == slopesName {
+		return runSlopes(c)
+	}
 	rep, trace, err := runs.Run(c.Args().First(), runs.Settings{
 		Seed: c.Uint64("seed"), Duration: c.Duration("duration"), Short: c.Bool("short"), New: newCluster,
 	})
