experiment: derive the design scale from the slopes

Ports are taken below the ephemeral range: a full run lost a sidecar (79 of 80) to an outgoing connection that had taken its port. Processes end when the run is interrupted.

--- a/test/experiment/slopes.go
+++ b/test/experiment/slopes.go
@@ -16,7 +16,7 @@
 func slopesFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "plots", Usage: "slopes: write one SVG per relation into this `DIR`"},
-		&cli.BoolFlag{Name: "page", Usage: "slopes: print the Markdown table of docs/CAPACITY.md"},
+		&cli.BoolFlag{Name: "page", Usage: "slopes: print the Markdown tables of docs/CAPACITY.md"},
 		&cli.StringFlag{Name: "from", Usage: "slopes: use the JSON report in this `FILE` in place of a new run"},
 	}
 }
--- a/test/experiment/slopes/fleet.go
+++ b/test/experiment/slopes/fleet.go
@@ -43,6 +43,9 @@
 	entries     []*entryProcess
 	sidecars    []*sidecarProcess
 	rec         *history.Recorder
+	// answerBytes is a setting of the entry instances; zero selects the default.
+	answerBytes int64
+	children    *children
 }
 
 type entryProcess struct {
@@ -56,8 +59,8 @@
 	backend *cluster.BackendServer
 }
 
-func newFleet(binary, dir string, doc *resource.Document) (*fleet, error) {
-	f := &fleet{binary: binary, dir: dir, store: standin.New(clock.Real{}, 0), rec: history.NewRecorder()}
+func newFleet(r *run, doc *resource.Document) (*fleet, error) {
+	f := &fleet{binary: r.binary, dir: r.dir, children: &r.processes, store: standin.New(clock.Real{}, 0), rec: history.NewRecorder()}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Annotate(err, "listen for the store")
@@ -107,10 +110,13 @@
 	cfg.Instance, cfg.Zone, cfg.Region = fmt.Sprintf("entry-%d", i), zone(i), region
 	cfg.CallerAddress, cfg.OperatorAddress, cfg.InternalAddress = addrs[0], addrs[1], addrs[2]
 	cfg.Store.Address = f.storeAddr
+	if f.answerBytes > 0 {
+		cfg.AnswerBytes = f.answerBytes
+	}
 	for _, e := range f.entries {
 		cfg.Peers = append(cfg.Peers, e.cfg.InternalAddress)
 	}
-	p, err := startProcess(f.binary, f.dir, "entry", cfg.Instance, cfg.OperatorAddress, &settings.File{Entry: cfg})
+	p, err := f.startProcess("entry", cfg.Instance, cfg.OperatorAddress, &settings.File{Entry: cfg})
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +138,7 @@
 	for _, e := range f.entries {
 		cfg.EntryAddresses = append(cfg.EntryAddresses, e.cfg.InternalAddress)
 	}
-	p, err := startProcess(f.binary, f.dir, "sidecar", cfg.Instance, cfg.OperatorAddress, &settings.File{Sidecar: cfg})
+	p, err := f.startProcess("sidecar", cfg.Instance, cfg.OperatorAddress, &settings.File{Sidecar: cfg})
 	if err != nil {
 		return nil, err
 	}
--- a/test/experiment/slopes/memory.go
+++ b/test/experiment/slopes/memory.go
@@ -24,6 +24,7 @@
 	rssByQueue   = quantity{"entry-rss-by-queued-tasks", "queued tasks", "resident bytes"}
 	heapByJobs   = quantity{"entry-heap-by-remembered", "remembered submissions of one task", "live heap bytes"}
 	rssByJobs    = quantity{"entry-rss-by-remembered", "remembered submissions of one task", "resident bytes"}
+	heapDropped  = quantity{"entry-heap-by-remembered-dropped", "remembered submissions of one task, bodies dropped", "live heap bytes"}
 	heapByTeams  = quantity{"entry-heap-by-teams", "teams with quotas", "live heap bytes"}
 	bytesByTeams = quantity{"entry-idle-bytes-by-teams", "teams with quotas, with shares moved to the other entry instance", "bytes per second"}
 	cpuByTeams   = quantity{"entry-idle-cpu-by-teams", "teams with quotas, with shares moved to the other entry instance", "processor seconds per second"}
@@ -134,6 +135,23 @@
 	return nil
 }
 
+// measureDropped fills the memory beyond the bound on the bodies of answers.
+func (r *run) measureDropped(f *fleet) error {
+	done := 0
+	for _, n := range r.sizes.dropped {
+		if err := f.entries[0].fill(n - done); err != nil {
+			return err
+		}
+		done = n
+		live, _, _, err := f.entries[0].heap()
+		if err != nil {
+			return err
+		}
+		r.add(heapDropped, float64(n), live)
+	}
+	return nil
+}
+
 // fill submits jobs of one task and waits for their answers.
 func (e *entryProcess) fill(jobs int) error {
 	body, err := jobBody(teamName(0), "quick", 1, 0)
--- a/test/experiment/slopes/page.go
+++ b/test/experiment/slopes/page.go
@@ -7,7 +7,10 @@
 	"github.com/juju/errors"
 )
 
-// WritePage writes the table of the slopes as Markdown for docs/CAPACITY.md.
+// pageEntries are the numbers of entry instances that the page shows.
+var pageEntries = []float64{6, 12, 24, 40}
+
+// WritePage writes the tables of the slopes and of the design scale as Markdown for docs/CAPACITY.md.
 func (r *Report) WritePage(w io.Writer) error {
 	page := fmt.Sprintf("Commit `%s`, seed %d, `%s`, %.0f s.\n\n", r.Commit, r.Seed, r.Command, r.TookS)
 	page += "| relation | x | y | at x = 0 | per unit of x | R² | points | growth |\n|---|---|---|---|---|---|---|---|\n"
@@ -15,6 +18,14 @@
 		page += fmt.Sprintf("| [%s](capacity/%s.svg) | %s | %s | %.4g | %.4g | %.3f | %d | %s |\n",
 			rel.Name, rel.Name, rel.XLabel, rel.YLabel, rel.Intercept, rel.Slope, rel.R2, len(rel.Points), rel.Shape)
 	}
-	_, err := io.WriteString(w, page)
-	return errors.Annotate(err, "write the table")
+	if _, err := io.WriteString(w, page+"\n"); err != nil {
+		return errors.Annotate(err, "write the table")
+	}
+	single := DesignFleet(pageEntries[len(pageEntries)-1])
+	single.JobTasks = 1
+	var fleets []Fleet
+	for _, n := range pageEntries {
+		fleets = append(fleets, DesignFleet(n))
+	}
+	return r.WriteFleets(w, append(fleets, single)...)
 }
--- a/test/experiment/slopes/process.go
+++ b/test/experiment/slopes/process.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,19 +38,55 @@
 }
 
 // startProcess writes the settings file and starts a role with it.
-func startProcess(binary, dir, role, name, operator string, f *settings.File) (*process, error) {
-	body, err := json.Marshal(f)
+func (f *fleet) startProcess(role, name, operator string, file *settings.File) (*process, error) {
+	body, err := json.Marshal(file)
 	if err != nil {
 		return nil, errors.Annotatef(err, "settings of %s", name)
 	}
-	path := filepath.Join(dir, name+".json")
+	path := filepath.Join(f.dir, name+".json")
 	if err := os.WriteFile(path, body, 0o600); err != nil {
 		return nil, errors.Annotatef(err, "settings of %s", name)
 	}
 	p := &process{operator: operator}
-	p.cmd = exec.Command(binary, role, "--config", path)
+	p.cmd = exec.Command(f.binary, role, "--config", path)
 	p.cmd.Stderr = &p.stderr
-	return p, errors.Annotatef(p.cmd.Start(), "start %s", name)
+	return p, errors.Annotatef(f.children.start(p), "start %s", name)
+}
+
+// children are the processes that were started.
+type children struct {
+	mu   sync.Mutex // guards list
+	list []*process
+}
+
+func (c *children) start(p *process) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = append(c.list, p)
+	return p.cmd.Start()
+}
+
+// endOnSignal ends the processes and this program on an interrupt, until the
+// returned function is called.
+func (c *children) endOnSignal() (stop func()) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		if _, ok := <-ch; !ok {
+			return
+		}
+		c.mu.Lock() // and never unlocked: nothing may start any more
+		for _, p := range c.list {
+			if p.cmd.Process != nil {
+				_ = p.cmd.Process.Kill()
+			}
+		}
+		os.Exit(1)
+	}()
+	return func() {
+		signal.Stop(ch)
+		close(ch)
+	}
 }
 
 // kill ends the process by its handle and waits for its end.
@@ -101,16 +140,33 @@
 	return errors.Annotatef(json.Unmarshal(body, into), "%s at %s", path, p.operator)
 }
 
-// freeAddresses reserves loopback addresses for processes that start later.
+// Ports of the processes. They are below the range from which the operating
+// system takes the ports of outgoing connections, so that none of these takes
+// a port between the choice and the start of a process.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// nextPort is the offset of the next port to try; runs at the same time begin
+// at different ones.
+var nextPort = os.Getpid() * 613
+
+// freeAddresses returns loopback addresses for processes that start later.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		nextPort++
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+nextPort%portCount))
+		lis, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, errors.Annotate(err, "find a free port")
+			if tries == portCount {
+				return nil, errors.Annotate(err, "find a free port")
+			}
+			continue
 		}
-		defer lis.Close()
-		out = append(out, lis.Addr().String())
+		lis.Close()
+		out = append(out, addr)
 	}
 	return out, nil
 }
--- a/test/experiment/slopes/slopes.go
+++ b/test/experiment/slopes/slopes.go
@@ -45,10 +45,13 @@
 }
 
 type sizes struct {
-	sidecars, entries   []int
-	jobRates, jobTasks  []int
-	fixedJobs           float64
-	queued, remembered  []int
+	sidecars, entries  []int
+	jobRates, jobTasks []int
+	fixedJobs          float64
+	queued, remembered []int
+	// dropped are numbers of remembered submissions above those whose bodies
+	// fit in the smallest bound.
+	dropped             []int
 	teams               []int
 	edits               int
 	window, storeWindow time.Duration
@@ -61,13 +64,15 @@
 		sidecars: []int{10, 20, 40, 80, 120}, entries: []int{1, 2, 3, 4, 6},
 		jobRates: []int{100, 200, 400, 800}, jobTasks: []int{10, 50, 100, 200}, fixedJobs: 30,
 		queued: []int{0, 5000, 10000, 20000}, remembered: []int{0, 5000, 10000, 20000},
-		teams: []int{10, 35, 60, 110}, edits: 5,
+		dropped: []int{10000, 15000, 20000, 25000},
+		teams:   []int{10, 35, 60, 110}, edits: 5,
 		window: 4 * time.Second, storeWindow: 10 * time.Second, firstEntries: 3,
 	}
 	if short {
 		s.sidecars, s.entries = []int{6, 12, 24}, []int{1, 2, 3}
 		s.jobRates, s.jobTasks = []int{100, 300}, []int{5, 50}
 		s.queued, s.remembered = []int{0, 5000}, []int{0, 5000}
+		s.dropped = []int{9000, 12000}
 		s.teams, s.edits = []int{10, 110}, 2
 		s.window, s.storeWindow = 2*time.Second, 5*time.Second
 	}
@@ -83,6 +88,8 @@
 	binary string
 	dir    string
 	edits  int
+	// processes are all that were started, to be ended on a signal.
+	processes children
 	// storeReads and storeWrites are the calls per second of one idle entry
 	// instance.
 	storeReads, storeWrites float64
@@ -100,6 +107,7 @@
 	if r.binary, err = buildDaemon(dir); err != nil {
 		return nil, err
 	}
+	defer r.processes.endOnSignal()()
 	for _, p := range []struct {
 		about string
 		run   func() error
@@ -109,6 +117,7 @@
 		{"control against attachments", r.growAttachments},
 		{"teams", r.growTeams},
 		{"memory", r.growMemory},
+		{"memory of answers without bodies", r.growDropped},
 	} {
 		if o.Progress != nil {
 			fmt.Fprintf(o.Progress, "%5.1f s  %s\n", time.Since(begin).Seconds(), p.about)
@@ -125,7 +134,7 @@
 
 // with runs a measurement on a fleet of its own.
 func (r *run) with(doc *resource.Document, entries, sidecars int, measure func(*fleet) error) error {
-	f, err := newFleet(r.binary, r.dir, doc)
+	f, err := newFleet(r, doc)
 	if err != nil {
 		return err
 	}
@@ -196,6 +205,22 @@
 	return r.with(document(1, 1, false), 2, memorySidecar, r.measureTeams)
 }
 
+// smallAnswers is the smallest bound on the bodies of answers, in bytes.
+const smallAnswers = 1 << 20
+
+func (r *run) growDropped() error {
+	f, err := newFleet(r, document(1, idleTeams, false))
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	f.answerBytes = smallAnswers
+	if err := f.grow(1, memorySidecar); err != nil {
+		return err
+	}
+	return r.measureDropped(f)
+}
+
 func (r *run) growMemory() error {
 	return r.with(document(1, idleTeams, false), 1, memorySidecar, func(f *fleet) error {
 		if err := f.touch(1); err != nil {
