entry: heartbeats to peers leave out lists that the peer holds

Cause: each heartbeat request repeated the sender's whole sidecar list, and every request and reply the list of entry instances, so the bytes grew with the product of both. Only the reply left the sidecar list out. The list also held a revision per sidecar but was made anew only when the membership changed, so the status at an entry instance never showed a revision in force at sidecars that are attached to others only.

Change: a list is left out in both directions when the hash last heard from the peer is that of the own list. One number, the lowest revision in force at the listed sidecars, replaces the revisions, so an edit repeats no list. tellPeer still asks for the whole list, because recovery depends on it.

--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -65,16 +65,15 @@
 func (b *beats) loop(addr string, poked <-chan struct{}) {
 	client := rpcnet.NewClientWith(addr, b.c.e.cfg.Dial)
 	defer client.Close()
-	var have uint64
 	var last ident.Process
 	failed := 0
 	for b.ctx.Err() == nil {
 		wait := b.c.e.cfg.BeatInterval
-		reply, err := b.once(client, last, have)
+		reply, err := b.once(client, last)
 		switch {
 		case err == nil:
 			failed = 0
-			last, have = reply.Entry.Process, reply.SidecarsHash
+			last = reply.Entry.Process
 		default:
 			failed++
 			if failed == 1 {
@@ -90,12 +89,11 @@
 	}
 }
 
-func (b *beats) once(client *rpcnet.Client, to ident.Process, have uint64) (*wire.PeerBeat, error) {
+func (b *beats) once(client *rpcnet.Client, to ident.Process) (*wire.PeerBeat, error) {
 	ctx, cancel := context.WithTimeout(b.ctx, beatTimeout)
 	defer cancel()
 	var req wire.PeerBeat
 	b.c.call(func(now time.Duration) { req = b.c.ownBeat(now, to) })
-	req.HaveHash = have
 	var reply wire.PeerBeat
 	if err := client.Call(ctx, wire.ServiceEntry+".PeerBeat", &req, &reply); err != nil {
 		return nil, err
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,7 +20,12 @@
 	revisions wire.Revisions
 	sidecars  []wire.SidecarRef
 	hash      uint64
-	draining  bool
+	// sidecarsInForce is the lowest revision in force at all of sidecars.
+	sidecarsInForce uint64
+	// have is the hash of this process's sidecar list that the peer holds, and
+	// entriesHash that of the live entry instances that the peer knows.
+	have, entriesHash uint64
+	draining          bool
 	// dead are the entry incarnations that the peer holds dead, and flows its
 	// final limit flows with them.
 	dead  []ident.Process
@@ -96,22 +101,13 @@
 
 func hashRefs(refs []wire.SidecarRef) uint64 {
 	h := xxhash.New()
-	var buf [16]byte
 	for _, r := range refs {
 		h.WriteString(r.Peer.Process.String())
 		h.WriteString(r.Peer.Address)
-		h.Write(appendUint64(buf[:0], r.InForce))
 	}
 	return max(h.Sum64(), 1)
 }
 
-func appendUint64(b []byte, v uint64) []byte {
-	for i := range 8 {
-		b = append(b, byte(v>>(8*i)))
-	}
-	return b
-}
-
 // hearOf notes an entry instance that somebody else named; the beat loop
 // contacts it.
 func (c *core) hearOf(p wire.Peer) {
@@ -139,8 +135,12 @@
 		c.publish()
 	}
 	ps.window, ps.revisions, ps.draining = b.Window, b.Revisions, b.Draining
+	ps.have, ps.entriesHash = b.HaveHash, b.EntriesHash
 	if b.SidecarsHash != ps.hash && hashRefs(b.Sidecars) == b.SidecarsHash {
-		ps.sidecars, ps.hash = b.Sidecars, b.SidecarsHash
+		ps.sidecars, ps.hash, ps.sidecarsInForce = b.Sidecars, b.SidecarsHash, 0
+	}
+	if b.SidecarsHash == ps.hash {
+		ps.sidecarsInForce = max(ps.sidecarsInForce, b.SidecarsInForce)
 	}
 	c.e.config.NoteKnown(b.Revisions.Known)
 	for _, q := range b.Entries {
@@ -203,7 +203,23 @@
 	}()
 }
 
-// ownBeat builds the heartbeat to a peer, in the core loop.
+// sidecarsInForce returns the lowest revision in force at the listed sidecars.
+func (c *core) sidecarsInForce(v *view) uint64 {
+	lowest := uint64(0)
+	for i, r := range v.refs {
+		s := c.links[r.Peer.Process]
+		if s == nil {
+			return 0
+		}
+		if i == 0 || s.inForce < lowest {
+			lowest = s.inForce
+		}
+	}
+	return lowest
+}
+
+// ownBeat builds the heartbeat to a peer, in the core loop. Lists that the peer
+// has shown to hold are left out.
 func (c *core) ownBeat(now time.Duration, to ident.Process) wire.PeerBeat {
 	v := c.view.Load()
 	b := wire.PeerBeat{
@@ -211,12 +227,22 @@
 		Window:       c.window.Load(),
 		Revisions:    c.e.config.Revisions(),
 		SidecarsHash: v.refsHash,
-		Entries:      v.entries,
+		EntriesHash:  v.entriesHash,
 		Dead:         v.dead,
 		Gone:         v.gone,
 		Draining:     c.draining.Load(),
 	}
-	b.Sidecars = v.refs
+	b.SidecarsInForce = c.sidecarsInForce(v)
+	ps := c.peers[to]
+	if ps != nil {
+		b.HaveHash = ps.hash
+	}
+	if ps == nil || ps.have != v.refsHash {
+		b.Sidecars = v.refs
+	}
+	if ps == nil || ps.entriesHash != v.entriesHash {
+		b.Entries = v.entries
+	}
 	c.limitsTold(now, to, &b)
 	return b
 }
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -99,6 +99,9 @@
 	defer cancel()
 	var req wire.PeerBeat
 	e.core.call(func(now time.Duration) { req = e.core.ownBeat(now, p) })
+	// The answer must hold the whole sidecar list: a heartbeat that is answered
+	// at the same time could replace the held one by an older one.
+	req.HaveHash = 0
 	var reply wire.PeerBeat
 	if client.Call(ctx, wire.ServiceEntry+".PeerBeat", &req, &reply) != nil {
 		return false
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -80,14 +80,10 @@
 	if req.Entry.Process.IsZero() {
 		return errors.NotValidf("heartbeat without process")
 	}
-	err := s.do(func(now time.Duration) {
+	return s.do(func(now time.Duration) {
 		s.e.core.peerBeat(now, req)
 		*reply = s.e.core.ownBeat(now, req.Entry.Process)
 	})
-	if req.HaveHash == reply.SidecarsHash {
-		reply.Sidecars = nil
-	}
-	return err
 }
 
 // Forward serves a caller's request that another instance received.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -97,6 +97,7 @@
 			Known: ps.revisions.Known, InForce: ps.inForce(c.document), Rejected: ps.revisions.Rejected, Draining: ps.draining,
 		})
 		for _, r := range ps.sidecars {
+			r.InForce = max(r.InForce, ps.sidecarsInForce)
 			addSidecar(sidecars, r)
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -336,7 +336,8 @@
 	Peer Peer `msgpack:"p"`
 	// Rack of the worker.
 	Rack string `msgpack:"r"`
-	// InForce is the sidecar's configuration revision.
+	// InForce is the sidecar's configuration revision when the list was made;
+	// PeerBeat.SidecarsInForce is the current one of the whole list.
 	InForce uint64 `msgpack:"f"`
 }
 
@@ -372,17 +373,25 @@
 	Window    uint64    `msgpack:"w"`
 	Revisions Revisions `msgpack:"v"`
 	// Sidecars is the list that SidecarsHash identifies; it is left out if the
-	// receiver's HaveHash shows that it holds the same list.
+	// HaveHash last heard from the receiver shows that it holds the same list.
 	Sidecars     []SidecarRef `msgpack:"s,omitempty"`
 	SidecarsHash uint64       `msgpack:"h"`
+	// SidecarsInForce is the lowest configuration revision in force at the
+	// listed sidecars, zero if there are none. The hash does not cover revisions,
+	// so that a change of the configuration does not repeat the lists.
+	SidecarsInForce uint64 `msgpack:"i,omitempty"`
 	// HaveHash is the hash of the receiver's list that the sender holds.
 	HaveHash uint64 `msgpack:"a,omitempty"`
 	// Gone are sidecar incarnations that are gone.
-	Gone    []ident.Process `msgpack:"k,omitempty"`
-	Entries []Peer          `msgpack:"l,omitempty"`
-	Dead    []ident.Process `msgpack:"d,omitempty"`
-	Given   []ShareTotal    `msgpack:"g,omitempty"`
-	Want    []ShareDemand   `msgpack:"m,omitempty"`
+	Gone []ident.Process `msgpack:"k,omitempty"`
+	// Entries are the entry instances that the sender knows as live, itself
+	// included, and EntriesHash identifies them; the list is left out if the
+	// hash last heard from the receiver is the same.
+	Entries     []Peer          `msgpack:"l,omitempty"`
+	EntriesHash uint64          `msgpack:"n,omitempty"`
+	Dead        []ident.Process `msgpack:"d,omitempty"`
+	Given       []ShareTotal    `msgpack:"g,omitempty"`
+	Want        []ShareDemand   `msgpack:"m,omitempty"`
 	// Allocation is the sequence number of the limit allocation held.
 	Allocation uint64 `msgpack:"o,omitempty"`
 	// Limits is the configuration revision of that allocation.
