--- a/test/experiment/slopes.go
+++ b/test/experiment/slopes.go
@@ -17,6 +17,7 @@
 	return []cli.Flag{
 		&cli.StringFlag{Name: "plots", Usage: "slopes: write one SVG per relation into this `DIR`"},
 		&cli.BoolFlag{Name: "page", Usage: "slopes: print the Markdown tables of docs/CAPACITY.md"},
+		&cli.StringFlag{Name: "update", Usage: "slopes: replace the generated part of this page `FILE`"},
 		&cli.StringFlag{Name: "from", Usage: "slopes: use the JSON report in this `FILE` in place of a new run"},
 	}
 }
@@ -31,6 +32,11 @@
 			return err
 		}
 	}
+	if file := c.String("update"); file != "" {
+		if err := rep.UpdatePage(file); err != nil {
+			return err
+		}
+	}
 	switch {
 	case c.Bool("json"):
 		return rep.WriteJSON(c.App.Writer)
--- a/test/experiment/slopes/capacity.go
+++ b/test/experiment/slopes/capacity.go
@@ -27,6 +27,10 @@
 	windowSeconds, answerWindows, ledgerWindows = 60, 15, 16
 )
 
+// designDocument is the encoded size of a document with 110 teams with quotas
+// and 256 remembered changes, in bytes.
+const designDocument = 34_000
+
 // Fleet is the size of a deployment.
 type Fleet struct {
 	// Workers, Entries and Teams are counted over all regions.
@@ -44,7 +48,7 @@
 func DesignFleet(entries float64) Fleet {
 	return Fleet{
 		Workers: 910, Entries: entries, Teams: 110, Starts: 76_000, JobTasks: 330,
-		Queued: 1_000_000, Changes: 2400, Document: 100 << 10,
+		Queued: 1_000_000, Changes: 2400, Document: designDocument,
 	}
 }
 
--- a/test/experiment/slopes/page.go
+++ b/test/experiment/slopes/page.go
@@ -1,8 +1,10 @@
 package slopes
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/juju/errors"
 )
@@ -29,3 +31,30 @@
 	}
 	return r.WriteFleets(w, append(fleets, single)...)
 }
+
+// The generated part of the page lies between these lines.
+const (
+	pageBegin = "<!-- generated: begin -->\n"
+	pageEnd   = "<!-- generated: end -->\n"
+)
+
+// UpdatePage replaces the generated part of a page.
+func (r *Report) UpdatePage(file string) error {
+	page, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	begin, end := bytes.Index(page, []byte(pageBegin)), bytes.Index(page, []byte(pageEnd))
+	if begin < 0 || end < begin {
+		return errors.NotFoundf("generated part of %s", file)
+	}
+	var out bytes.Buffer
+	out.Write(page[:begin+len(pageBegin)])
+	out.WriteString("\n")
+	if err := r.WritePage(&out); err != nil {
+		return err
+	}
+	out.WriteString("\n")
+	out.Write(page[end:])
+	return errors.Annotate(os.WriteFile(file, out.Bytes(), 0o644), "update the page")
+}
