experiment: measure starts in fleets of the same size

Each start was measured in the same growing fleet, so its bytes and store calls grew with the entry instances as well as with the document (15 to 22 calls).

--- a/test/experiment/slopes/slopes.go
+++ b/test/experiment/slopes/slopes.go
@@ -113,7 +113,8 @@
 		run   func() error
 	}{
 		{"load, control and configuration against sidecars", r.growSidecars},
-		{"control against entry instances, store calls, starts", r.growEntries},
+		{"control against entry instances, store calls", r.growEntries},
+		{"starts", r.growStarts},
 		{"control against attachments", r.growAttachments},
 		{"teams", r.growTeams},
 		{"memory", r.growMemory},
@@ -171,26 +172,27 @@
 				r.storeWrites = rel[i].Slope
 			}
 		}
-		return r.measureStarts(f)
+		return nil
 	})
 }
 
-// measureStarts starts processes with documents of growing size.
-func (r *run) measureStarts(f *fleet) error {
-	for i, teams := range r.sizes.teams {
-		revision := uint64(i + 2)
-		doc := document(revision, teams, false)
-		if err := f.write(doc); err != nil {
-			return err
-		}
-		if err := f.await("new document", func() bool { return f.have(revision) }); err != nil {
-			return err
-		}
+// startEntries is the number of entry instances beside which processes start.
+const startEntries = 2
+
+// growStarts starts processes with documents of growing size, each in a fleet
+// of its own, so that only the document differs.
+func (r *run) growStarts() error {
+	for _, teams := range r.sizes.teams {
+		doc := document(1, teams, true)
 		data, err := resource.Encode(doc)
 		if err != nil {
 			return errors.Trace(err)
 		}
-		if err := r.measureStart(f, float64(len(data))); err != nil {
+		err = r.with(doc, startEntries, 0, func(f *fleet) error {
+			time.Sleep(settle)
+			return r.measureStart(f, float64(len(data)))
+		})
+		if err != nil {
 			return err
 		}
 	}
