dispatch: keep the capacity of tasks that may still be running; record waits

Cause: found by reading: a task lost with its sidecar gave its concurrency back at once, although the backend server may run it until the deadline, so a hard limit could be exceeded. The queue wait histogram was never filled. Change: the capacity of a task that may have run is given back at its job's deadline; the machine reports the wait of each start. TestHeldCapacity covers the first.

--- a/internal/decision/dispatch/api.go
+++ b/internal/decision/dispatch/api.go
@@ -43,6 +43,9 @@
 	QueueTasks int64
 	// Limiter enforces limits before each start; nil means no limits.
 	Limiter Limiter
+	// Waited is told how long each task waited from its admission to its
+	// start; it may be nil and must not call the Machine.
+	Waited func(class wire.Class, wait time.Duration)
 }
 
 // Limiter enforces the limits that hold across entry instances.
@@ -51,7 +54,9 @@
 	CanStart(now time.Duration, class wire.Class) bool
 	// Started takes the capacity of one task, at its dispatch.
 	Started(now time.Duration, class wire.Class)
-	// Ended gives the capacity of one started task back.
+	// Ended gives the capacity of one started task back. For a task that may
+	// have run it is called at the deadline of its job, because it may still
+	// be running until then.
 	Ended(now time.Duration, class wire.Class)
 	// CanQueue reports whether so many more tasks of the class may wait.
 	CanQueue(class wire.Class, tasks int) bool
--- a/internal/decision/dispatch/end.go
+++ b/internal/decision/dispatch/end.go
@@ -33,6 +33,7 @@
 			m.judge(t, false, 0)
 		}
 		m.release(t)
+		m.hold(j)
 		m.count(t, mayHaveRun)
 	}
 	m.settle(j)
--- a/internal/decision/dispatch/machine.go
+++ b/internal/decision/dispatch/machine.go
@@ -25,6 +25,8 @@
 	jobs      map[string]*job
 	memory    memory
 	deadlines deadlines
+	// held is the capacity of tasks that may still be running somewhere.
+	held      heldQueue
 	classes   map[wire.Class]*class
 	stats     []*class // all classes ever used, for counters
 	unknown   counters // refusals of jobs without a class
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -112,6 +112,9 @@
 	if m.cfg.Limiter != nil {
 		m.cfg.Limiter.Started(m.now, c.key)
 	}
+	if m.cfg.Waited != nil {
+		m.cfg.Waited(c.key, m.now-t.job.at)
+	}
 	if len(w.batch) == 0 {
 		m.batched = append(m.batched, w)
 	}
--- a/internal/decision/dispatch/place_test.go
+++ b/internal/decision/dispatch/place_test.go
@@ -38,6 +38,34 @@
 	}
 }
 
+// TestHeldCapacity guards against a limit being exceeded by a task that goes on
+// running after its sidecar was lost.
+func TestHeldCapacity(t *testing.T) {
+	l := &oneAtATime{}
+	m := newMachine(l)
+	attach(m, 0, process(1), 4)
+	attach(m, 0, process(2), 4)
+	m.Grant(0, process(1), grants(0, 4))
+	m.Submit(0, id(1), request("quick", 1))
+	s := one(t, m, process(1))
+	m.DispatchReply(0, process(1), []wire.Start{s}, []wire.RefuseCode{wire.Accepted})
+	m.Detach(time.Second, process(1))
+	a, _ := m.Answer(time.Second, id(1))
+	want(t, a, jobapi.JobFailed, jobapi.ReasonOutcomeUnknown, false)
+	deadline := time.Duration(s.DeadlineMs) * time.Millisecond
+	m.Tick(deadline - time.Millisecond)
+	if l.running != 1 {
+		t.Fatal("the capacity of a task that may still be running was given back")
+	}
+	if at, ok := m.Next(); !ok || at > deadline {
+		t.Fatalf("next tick at %v, %v", at, ok)
+	}
+	m.Tick(deadline)
+	if l.running != 0 {
+		t.Fatal("the capacity is kept beyond the deadline")
+	}
+}
+
 // TestChoice guards against ignoring size, zone or the time of the last use.
 func TestChoice(t *testing.T) {
 	m := newMachine(nil)
--- a/internal/decision/dispatch/result.go
+++ b/internal/decision/dispatch/result.go
@@ -97,6 +97,7 @@
 func (m *Machine) requeue(t *task) {
 	c := t.job.class
 	m.release(t)
+	m.ended(c)
 	t.worker, t.state = nil, queued
 	if c.pool.queue.Return(t.job.wait, fair.Task[*task]{Cost: t.cost, Value: t}) {
 		m.queued(c, 1)
@@ -116,6 +117,11 @@
 // finish ends a task in flight with a final state.
 func (m *Machine) finish(t *task, s state) {
 	m.release(t)
+	if s == mayHaveRun {
+		m.hold(t.job)
+	} else {
+		m.ended(t.job.class)
+	}
 	m.count(t, s)
 	m.settle(t.job)
 }
@@ -129,7 +135,8 @@
 	}
 }
 
-// release takes a task off its worker and gives its capacity back.
+// release takes a task off its worker. Its capacity is given back by ended or
+// hold.
 func (m *Machine) release(t *task) {
 	w, c := t.worker, t.job.class
 	last := len(w.inflight) - 1
@@ -145,12 +152,6 @@
 	t.probe = false
 	t.job.inFlight--
 	c.pool.queue.Ended(c.queue)
-	if m.cfg.Limiter != nil {
-		m.cfg.Limiter.Ended(m.now, c.key)
-		if m.limited {
-			m.touchAll()
-		}
-	}
 }
 
 // fail records why a job can't complete and withdraws its waiting tasks.
--- a/internal/decision/dispatch/tick.go
+++ b/internal/decision/dispatch/tick.go
@@ -20,6 +20,7 @@
 func (m *Machine) Tick(now time.Duration) {
 	m.now = now
 	m.expireJobs()
+	m.endHeld()
 	m.dropOld()
 	m.probeDue()
 	if m.limited {
@@ -39,6 +40,9 @@
 	if len(m.deadlines) > 0 {
 		next(m.deadlines[0].deadline)
 	}
+	if len(m.held) > 0 {
+		next(m.held[0].until)
+	}
 	if len(m.workers) > 0 {
 		next(m.sweep)
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -123,6 +123,7 @@
 		Self:          p,
 		Zone:          c.e.cfg.Zone,
 		CreditTTL:     c.e.cfg.CreditTTL,
+		Waited:        c.e.observeWait,
 		Limiter:       c.ledger,
 		AcceptWindows: c.e.cfg.AcceptWindows,
 		RetainWindows: c.e.cfg.RetainWindows,
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -6,6 +6,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
 // observeJob records an answered job in the metrics.
@@ -23,6 +24,13 @@
 	}
 }
 
+// observeWait records how long a task waited for its start.
+func (e *Entry) observeWait(class wire.Class, wait time.Duration) {
+	if e.deps.Metrics != nil {
+		e.deps.Metrics.Class(class.Team, class.Kind).Wait.Record(wait)
+	}
+}
+
 // notice logs an event of the dispatch machine and acts on it.
 func (c *core) notice(now time.Duration, n dispatch.Notice) {
 	switch ev := n.Event.(type) {
