--- a/internal/entry/beats.go
+++ b/internal/entry/beats.go
@@ -50,6 +50,16 @@
 	b.c.e.wg.Go(func() { b.loop(addr, poked) })
 }
 
+// pokeOne has the heartbeat to one address sent now.
+func (b *beats) pokeOne(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case b.addrs[addr] <- struct{}{}:
+	default:
+	}
+}
+
 // poke has all heartbeats sent now.
 func (b *beats) poke() {
 	b.mu.Lock()
@@ -65,16 +75,15 @@
 func (b *beats) loop(addr string, poked <-chan struct{}) {
 	client := rpcnet.NewClientWith(addr, b.c.e.cfg.Dial)
 	defer client.Close()
-	var have uint64
 	var last ident.Process
 	failed := 0
 	for b.ctx.Err() == nil {
 		wait := b.c.e.cfg.BeatInterval
-		reply, err := b.once(client, last, have)
+		reply, err := b.once(client, last)
 		switch {
 		case err == nil:
 			failed = 0
-			last, have = reply.Entry.Process, reply.SidecarsHash
+			last = reply.Entry.Process
 		default:
 			failed++
 			if failed == 1 {
@@ -90,17 +99,21 @@
 	}
 }
 
-func (b *beats) once(client *rpcnet.Client, to ident.Process, have uint64) (*wire.PeerBeat, error) {
+func (b *beats) once(client *rpcnet.Client, to ident.Process) (*wire.PeerBeat, error) {
 	ctx, cancel := context.WithTimeout(b.ctx, beatTimeout)
 	defer cancel()
 	var req wire.PeerBeat
 	b.c.call(func(now time.Duration) { req = b.c.ownBeat(now, to) })
-	req.HaveHash = have
 	var reply wire.PeerBeat
 	if err := client.Call(ctx, wire.ServiceEntry+".PeerBeat", &req, &reply); err != nil {
 		return nil, err
 	}
-	b.c.post(func(now time.Duration) { b.c.peerBeat(now, &reply) })
+	b.c.post(func(now time.Duration) {
+		if reply.Entry.Process == to {
+			b.c.ledger.Acked(to, reply.Allocation, req.Given)
+		}
+		b.c.peerBeat(now, &reply)
+	})
 	b.c.e.pullIfBehind(client, reply.Revisions)
 	return &reply, nil
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -60,10 +60,18 @@
 	dueTick   time.Duration
 	document  *resource.Document
 	ledger    *escrow.Ledger
+	// offer is true if limit share should be offered to peers at the next flush.
+	offer bool
 	// allocation is the newest limit allocation; it outlives an incarnation.
 	allocation *escrow.Allocation
 	// missing holds when a holder of limit shares was first found not live.
 	missing map[string]time.Duration
+	// reclaims holds what is known of dead holders, and deadline the longest
+	// deadline of any kind so far.
+	reclaims map[ident.Process]*reclaim
+	deadline time.Duration
+	// unlisted are sidecars that a peer listed earlier.
+	unlisted map[ident.Process]listing
 
 	// self, window, demand and view are read by other goroutines.
 	self     atomic.Pointer[ident.Process]
@@ -84,8 +92,8 @@
 		links:   map[ident.Process]*attached{},
 		peers:   map[ident.Process]*peerState{},
 		gone:    map[ident.Process]time.Duration{},
-		missing: map[string]time.Duration{},
-		losses:  membership.NewGrouper(time.Second),
+		missing: map[string]time.Duration{}, reclaims: map[ident.Process]*reclaim{}, unlisted: map[ident.Process]listing{},
+		losses: membership.NewGrouper(time.Second),
 	}
 	bounds := membership.Config{SilentAfter: e.cfg.SilentAfter, DeadAfter: e.cfg.GoneAfter, Retain: e.cfg.retention()}
 	// A sidecar that was cut off still has its ledger and may return.
@@ -115,6 +123,7 @@
 		Self:          p,
 		Zone:          c.e.cfg.Zone,
 		CreditTTL:     c.e.cfg.CreditTTL,
+		Waited:        c.e.observeWait,
 		Limiter:       c.ledger,
 		AcceptWindows: c.e.cfg.AcceptWindows,
 		RetainWindows: c.e.cfg.RetainWindows,
@@ -211,6 +220,7 @@
 	c.machine.Abandon(now)
 	c.flush(now)
 	c.retire(old)
+	c.noteSidecars(old, c.linked())
 	for p := range c.links {
 		c.dropSidecar(p)
 	}
@@ -240,6 +250,7 @@
 	c.checkLease(now)
 	c.ledger.Tick(now)
 	c.machine.Tick(now)
+	c.offer = true
 	for _, l := range c.losses.Due(now, c.sidecars.In(membership.Live)) {
 		c.e.log(lossEvents[l.Scope], "place", l.Place, "members", l.Members)
 	}
@@ -302,20 +313,18 @@
 	if c.ledger.Changed() {
 		c.machine.Wake(now)
 	}
-	if c.ledger.Asking() {
-		c.e.beats.poke()
-	}
 	for {
 		actions := c.machine.Actions()
 		d := c.machine.Demand(now)
 		c.demand.Store(&d)
 		if len(actions) == 0 {
-			return
+			break
 		}
 		for _, a := range actions {
 			c.carryOut(now, a)
 		}
 	}
+	c.moveShares(now)
 }
 
 func (c *core) carryOut(now time.Duration, a dispatch.Action) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -88,6 +88,9 @@
 	Weight float64 `msgpack:"g"`
 	// RunMs is the estimated run time of a task in milliseconds.
 	RunMs int64 `msgpack:"m"`
+	// Slots is the number of slots of all workers that could run the tasks. A
+	// sidecar takes the part of its own slots in them; zero means all tasks.
+	Slots int `msgpack:"s,omitempty"`
 }
 
 // MaxDemand is the largest number of classes in one demand summary.
@@ -290,6 +293,8 @@
 // FenceOwnerReply names the incarnation that has fenced the owners.
 type FenceOwnerReply struct {
 	Sidecar ident.Process `msgpack:"s"`
+	// Busy are those of the owners whose tasks still run here.
+	Busy []ident.Process `msgpack:"b,omitempty"`
 }
 
 // LedgerRequest asks for the ledger entries of a submission.
@@ -340,7 +345,8 @@
 	Peer Peer `msgpack:"p"`
 	// Rack of the worker.
 	Rack string `msgpack:"r"`
-	// InForce is the sidecar's configuration revision.
+	// InForce is the sidecar's configuration revision when the list was made;
+	// PeerBeat.SidecarsInForce is the current one of the whole list.
 	InForce uint64 `msgpack:"f"`
 }
 
@@ -357,6 +363,10 @@
 	Limit string `msgpack:"l"`
 	Epoch uint64 `msgpack:"e"`
 	Want  int64  `msgpack:"w"`
+	// Firm is the part of Want that no other limit holds back; it entitles to
+	// share that the receiver uses itself. Share is the sender's share.
+	Firm  int64 `msgpack:"f,omitempty"`
+	Share int64 `msgpack:"s,omitempty"`
 }
 
 // ShareFlow is what a live holder of a limit gave to and received from a dead one.
@@ -376,17 +386,25 @@
 	Window    uint64    `msgpack:"w"`
 	Revisions Revisions `msgpack:"v"`
 	// Sidecars is the list that SidecarsHash identifies; it is left out if the
-	// receiver's HaveHash shows that it holds the same list.
+	// HaveHash last heard from the receiver shows that it holds the same list.
 	Sidecars     []SidecarRef `msgpack:"s,omitempty"`
 	SidecarsHash uint64       `msgpack:"h"`
+	// SidecarsInForce is the lowest configuration revision in force at the
+	// listed sidecars, zero if there are none. The hash does not cover revisions,
+	// so that a change of the configuration does not repeat the lists.
+	SidecarsInForce uint64 `msgpack:"i,omitempty"`
 	// HaveHash is the hash of the receiver's list that the sender holds.
 	HaveHash uint64 `msgpack:"a,omitempty"`
 	// Gone are sidecar incarnations that are gone.
-	Gone    []ident.Process `msgpack:"k,omitempty"`
-	Entries []Peer          `msgpack:"l,omitempty"`
-	Dead    []ident.Process `msgpack:"d,omitempty"`
-	Given   []ShareTotal    `msgpack:"g,omitempty"`
-	Want    []ShareDemand   `msgpack:"m,omitempty"`
+	Gone []ident.Process `msgpack:"k,omitempty"`
+	// Entries are the entry instances that the sender knows as live, itself
+	// included, and EntriesHash identifies them; the list is left out if the
+	// hash last heard from the receiver is the same.
+	Entries     []Peer          `msgpack:"l,omitempty"`
+	EntriesHash uint64          `msgpack:"n,omitempty"`
+	Dead        []ident.Process `msgpack:"d,omitempty"`
+	Given       []ShareTotal    `msgpack:"g,omitempty"`
+	Want        []ShareDemand   `msgpack:"m,omitempty"`
 	// Allocation is the sequence number of the limit allocation held.
 	Allocation uint64 `msgpack:"o,omitempty"`
 	// Limits is the configuration revision of that allocation.
