churn: a step that overruns moves the later ones back

Later steps now keep their distance, and the measurements follow the times at which the faults began.

--- a/test/experiment/runs/churn.go
+++ b/test/experiment/runs/churn.go
@@ -169,24 +169,32 @@
 }
 
 // inject runs the steps at their times. The undo of a step comes before the
-// next one.
+// next one. A step that takes longer than planned, because a graceful stop waits
+// for its jobs, moves the later ones back in at.
 func (p *phase) inject(steps []step, at []time.Duration) error {
 	for i, s := range steps {
 		p.sleepUntil(at[i])
 		if err := p.apply(s); err != nil {
 			return err
 		}
-		if s.undo == "" {
-			continue
-		}
-		p.sleepUntil(at[i] + s.downFor())
-		if err := p.revert(s); err != nil {
-			return err
+		if s.undo != "" {
+			p.sleepUntil(at[i] + s.downFor())
+			if err := p.revert(s); err != nil {
+				return err
+			}
 		}
+		moveBack(at[i+1:], p.now()-at[i]-s.downFor())
 	}
 	return nil
 }
 
+// moveBack adds a delay to times, if there is one.
+func moveBack(at []time.Duration, late time.Duration) {
+	for i := range at {
+		at[i] += max(late, 0)
+	}
+}
+
 // apply begins a step.
 func (p *phase) apply(s step) error {
 	switch s.action {
--- a/test/experiment/runs/runs.go
+++ b/test/experiment/runs/runs.go
@@ -44,7 +44,7 @@
 	"flood-high":   {"overload by the most urgent work, Torno Andino", 15 * time.Second, floodHigh},
 	"refund-flood": {"overload by refund checks, Safari", 15 * time.Second, refundFlood},
 	"waste":        {"wasted messages per started task", 12 * time.Second, waste},
-	"churn":        {"faults and drains of processes, a rack and a zone", 100 * time.Second, churn},
+	"churn":        {"faults and drains of processes, a rack and a zone", 110 * time.Second, churn},
 	"store-outage": {"the store slow, losing answers and down", 30 * time.Second, storeOutage},
 	"config":       {"2,400 racing edits and restarts", 20 * time.Second, config},
 	"bad-workers":  {"a worker that fails every task and a straggler", 15 * time.Second, badWorkers},
--- a/test/experiment/runs/runs_test.go
+++ b/test/experiment/runs/runs_test.go
@@ -145,3 +145,14 @@
 		t.Errorf("%d steps within a second", len(short))
 	}
 }
+
+// TestMoveBack guards against a fault that begins while the jobs after an
+// earlier, late one are measured.
+func TestMoveBack(t *testing.T) {
+	at := []time.Duration{time.Second, 3 * time.Second}
+	moveBack(at, -time.Second)
+	moveBack(at, 2*time.Second)
+	if at[0] != 3*time.Second || at[1] != 5*time.Second {
+		t.Fatalf("times %v", at)
+	}
+}
