--- /dev/null
+++ b/test/experiment/live/faults.go
@@ -0,0 +1,37 @@
+package live
+
+import (
+	"github.com/cardamomturn/cardamomturn/internal/store/standin"
+	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
+	"github.com/cardamomturn/cardamomturn/test/experiment/delay"
+)
+
+// Cut implements cluster.Cluster.
+func (c *Cluster) Cut(i, j int) { c.between(i, j).Close() }
+
+// Join implements cluster.Cluster.
+func (c *Cluster) Join(i, j int) { c.between(i, j).Open() }
+
+func (c *Cluster) between(i, j int) *delay.Gate {
+	return c.net.pair(c.entries[i].cfg.InternalAddress, c.entries[j].cfg.InternalAddress)
+}
+
+// SaveStore implements cluster.Cluster.
+func (c *Cluster) SaveStore() (restore func()) {
+	s := c.store.Snapshot()
+	return func() { c.store.Restore(s) }
+}
+
+// StoreCalls implements cluster.Cluster.
+func (c *Cluster) StoreCalls() (n cluster.StoreCalls) {
+	for call, count := range c.store.Calls() {
+		switch call {
+		case standin.CallGet, standin.CallList, standin.CallWatch:
+			n.Reads += count
+		default:
+			n.Writes += count
+		}
+	}
+	n.Watches = c.store.Watches()
+	return n
+}
--- a/test/experiment/live/live.go
+++ b/test/experiment/live/live.go
@@ -17,7 +17,6 @@
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/store/standin"
 	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
-	"github.com/cardamomturn/cardamomturn/test/experiment/delay"
 )
 
 const (
@@ -195,36 +194,6 @@
 	return nil
 }
 
-// Cut implements cluster.Cluster.
-func (c *Cluster) Cut(i, j int) { c.between(i, j).Close() }
-
-// Join implements cluster.Cluster.
-func (c *Cluster) Join(i, j int) { c.between(i, j).Open() }
-
-func (c *Cluster) between(i, j int) *delay.Gate {
-	return c.net.pair(c.entries[i].cfg.InternalAddress, c.entries[j].cfg.InternalAddress)
-}
-
-// SaveStore implements cluster.Cluster.
-func (c *Cluster) SaveStore() (restore func()) {
-	s := c.store.Snapshot()
-	return func() { c.store.Restore(s) }
-}
-
-// StoreCalls implements cluster.Cluster.
-func (c *Cluster) StoreCalls() (n cluster.StoreCalls) {
-	for call, count := range c.store.Calls() {
-		switch call {
-		case standin.CallGet, standin.CallList, standin.CallWatch:
-			n.Reads += count
-		default:
-			n.Writes += count
-		}
-	}
-	n.Watches = c.store.Watches()
-	return n
-}
-
 // CallerAddress implements cluster.Cluster.
 func (c *Cluster) CallerAddress(i int) string {
 	n := c.entries[i]
