entry: reclaim received share of the dead, show shares in the status

Cause: holders to reclaim were taken from the base shares of the allocation only. An incarnation that had only received share from peers and died was never settled, and its share was lost until the limit was removed. Change: incarnations with which live ones have flows, and silent ones, count as holders too; settled ones don't. GET of limits and teams shows share, use and demand per entry instance, what no live one holds and by whom it is held, and the condition Lowering while more is in use than the limit. Tests: TestReclaimReceived fails without the change.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -141,7 +141,7 @@
 // more and their tasks have ended.
 func (c *core) settle(now time.Duration, from *escrow.Allocation) *escrow.Allocation {
 	var dead []string
-	holders := from.Holders()
+	holders := c.holders(from)
 	c.forgetReclaims(holders)
 	for holder := range holders {
 		if c.settled(now, holder) {
@@ -165,6 +165,30 @@
 	return from.Settle(dead, flows, *c.self.Load())
 }
 
+// holders returns the incarnations that may hold share and have not been
+// settled: those with a base share, and those that live ones have exchanged
+// share with. Silent ones may be among the latter.
+func (c *core) holders(from *escrow.Allocation) map[string]bool {
+	all := from.Holders()
+	for _, f := range c.ledger.Flows() {
+		all[f.Dead] = true
+	}
+	for _, ps := range c.peers {
+		for _, f := range ps.flows {
+			all[f.Dead] = true
+		}
+	}
+	for _, m := range c.entries.In(membership.Silent) {
+		all[m.Peer.Process.String()] = true
+	}
+	if from != nil {
+		for _, x := range from.Settled {
+			delete(all, x)
+		}
+	}
+	return all
+}
+
 // settled reports whether a holder is dead and its tasks have ended. It
 // declares a holder dead that is missing for long enough.
 func (c *core) settled(now time.Duration, holder string) bool {
--- a/internal/entry/reclaim_test.go
+++ b/internal/entry/reclaim_test.go
@@ -19,9 +19,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var cancel context.CancelFunc
-	e.ctx, cancel = context.WithCancel(context.Background())
-	t.Cleanup(func() { cancel(); e.wg.Wait() })
+	ctx, cancel := context.WithCancel(context.Background())
+	e.ctx, e.beats = ctx, newBeats(ctx, e.core)
+	t.Cleanup(func() { cancel(); close(e.core.done); e.wg.Wait() })
 	e.core.noteSidecars(holder, listed)
 	return e.core
 }
@@ -84,6 +84,42 @@
 	}
 }
 
+// TestReclaimReceived guards against the loss of the share of a dead incarnation
+// that has no base share but had received from others.
+func TestReclaimReceived(t *testing.T) {
+	holder := ident.Process{Instance: "h", Incarnation: 1}
+	c := idleCore(t, holder)
+	four := int64(4)
+	doc := testDocument()
+	doc.Teams["studio"].Spec.Quota.Concurrency = &four
+	c.document = doc
+	c.ledger.SetDocument(doc)
+	first := c.planAllocation(0, nil)
+	c.ledger.Apply(first)
+	c.allocation = first
+	c.peerBeat(0, &wire.PeerBeat{Entry: wire.Peer{Process: holder, Address: "127.0.0.1:1"}, Window: 1,
+		Want: []wire.ShareDemand{{Limit: "team/studio/concurrency", Epoch: 1, Want: 3}}})
+	if own := c.ledger.Holdings(0)[0].Share; own != 1 {
+		t.Fatalf("share %d after giving 3 of 4", own)
+	}
+	now := time.Minute
+	c.killEntry(now, holder)
+	c.planAllocation(now, first)
+	now += c.endBound() + 1
+	next := c.planAllocation(now, first)
+	if next == nil {
+		t.Fatal("the share of the dead incarnation is not reclaimed")
+	}
+	c.ledger.Apply(next)
+	if own := c.ledger.Holdings(now)[0].Share; own != 4 {
+		t.Fatalf("share %d of 4 after the reclaim", own)
+	}
+	c.allocation = next
+	if again := c.planAllocation(now, next); again != nil {
+		t.Fatal("the same incarnation is reclaimed twice")
+	}
+}
+
 // TestFencedOwnerBusy guards against a sidecar that reports no running task of
 // a fenced owner while one runs, or still reports it after its end.
 func TestFencedOwnerBusy(t *testing.T) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -123,7 +123,7 @@
 
 // Work tells how the work at this instance fares.
 func (s service) Work(_ *wire.WorkRequest, reply *wire.WorkReply) error {
-	reply.Classes = s.e.ownWork()
+	*reply = s.e.ownWork()
 	return nil
 }
 
--- /dev/null
+++ b/internal/entry/shares.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/escrow"
+	"github.com/cardamomturn/cardamomturn/internal/resource"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
+
+// shareStates returns this incarnation's shares that are in any way in use.
+func (c *core) shareStates(now time.Duration) []wire.ShareState {
+	var out []wire.ShareState
+	self := c.self.Load().String()
+	for _, h := range c.ledger.Holdings(now) {
+		if h.Share != 0 || h.Used != 0 || h.Wants != 0 {
+			out = append(out, wire.ShareState{Limit: h.Limit.Name, Process: self, Share: h.Share, Used: h.Used, Want: h.Wants})
+		}
+	}
+	return out
+}
+
+// Shares implements resourceapi.StatusSource: it returns how the amounts of a
+// limit or team are divided, and the condition Lowering if one of them is
+// still above its bound.
+func (e *Entry) Shares(ref resource.Ref) ([]resource.AmountShares, []resource.Condition) {
+	prefix := map[resource.Type]string{resource.TypeLimit: "limit/", resource.TypeTeam: "team/"}[ref.Type]
+	doc := e.config.Document()
+	if prefix == "" || doc == nil {
+		return nil, nil
+	}
+	var out []resource.AmountShares
+	var lowering []string
+	states, lost := e.work.gather().Shares, e.lostHolders()
+	for _, l := range escrow.Limits(doc) {
+		if l.Name != prefix+ref.Name+"/"+string(l.Dimension) {
+			continue
+		}
+		a := amountShares(l, states)
+		if a.Held != 0 {
+			a.HeldBy = lost
+		}
+		out = append(out, a)
+		if above := aboveTotal(a); above != "" {
+			lowering = append(lowering, above)
+		}
+	}
+	if len(lowering) == 0 {
+		return out, nil
+	}
+	return out, []resource.Condition{{Type: resource.ConditionLowering, Status: "True", Reason: "AboveLimit",
+		Message: strings.Join(lowering, ", ")}}
+}
+
+func amountShares(l escrow.Limit, states []wire.ShareState) resource.AmountShares {
+	a := resource.AmountShares{Amount: string(l.Dimension), Total: l.Total, Held: l.Total}
+	for _, s := range states {
+		if s.Limit == l.Name {
+			a.Held -= s.Share
+			a.Holders = append(a.Holders, resource.HolderShare{Process: s.Process, Share: s.Share, Used: s.Used, Wanting: s.Want})
+		}
+	}
+	return a
+}
+
+// aboveTotal describes an amount of which more is in use, or may be taken into
+// use, than its total; it returns "" if there is none.
+func aboveTotal(a resource.AmountShares) string {
+	used, usable := int64(0), int64(0)
+	for _, h := range a.Holders {
+		used += h.Used
+		usable += max(h.Share, h.Used, 0)
+	}
+	if max(used, usable) <= a.Total {
+		return ""
+	}
+	return fmt.Sprintf("%s: %d of %d in use", a.Amount, used, a.Total)
+}
+
+// lostHolders returns the incarnations with shares that are not live.
+func (e *Entry) lostHolders() []string {
+	var out []string
+	e.core.call(func(time.Duration) {
+		live := e.core.view.Load().entries
+		for h := range e.core.holders(e.core.allocation) {
+			if !slices.ContainsFunc(live, func(p wire.Peer) bool { return p.Process.String() == h }) {
+				out = append(out, h)
+			}
+		}
+	})
+	slices.Sort(out)
+	return out
+}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -22,9 +22,9 @@
 type workCache struct {
 	e *Entry
 
-	mu      sync.Mutex // guards what follows
-	at      time.Time
-	classes []wire.ClassWork
+	mu   sync.Mutex // guards what follows
+	at   time.Time
+	work wire.WorkReply
 }
 
 // of sums up the work of a kind, a team or a limit; nil for other resources.
@@ -36,7 +36,7 @@
 	sum := &resource.Work{}
 	var buckets []int64
 	var sumMs, maxMs float64
-	for _, c := range w.gather() {
+	for _, c := range w.gather().Classes {
 		if !matches(c.Class) {
 			continue
 		}
@@ -90,45 +90,48 @@
 
 // gather returns the work of all live entry instances, at most workAge old. A
 // peer that does not answer in time is left out.
-func (w *workCache) gather() []wire.ClassWork {
+func (w *workCache) gather() wire.WorkReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if time.Since(w.at) < workAge {
-		return w.classes
+		return w.work
 	}
 	all := w.e.ownWork()
 	peers := w.e.core.view.Load().peers
-	replies := make(chan []wire.ClassWork, len(peers))
+	replies := make(chan wire.WorkReply, len(peers))
 	for _, client := range peers {
 		go func() { replies <- w.e.askWork(client) }()
 	}
 	for range peers {
-		all = append(all, <-replies...)
+		r := <-replies
+		all.Classes = append(all.Classes, r.Classes...)
+		all.Shares = append(all.Shares, r.Shares...)
 	}
-	w.at, w.classes = time.Now(), all
+	w.at, w.work = time.Now(), all
 	return all
 }
 
-func (e *Entry) askWork(client *rpcnet.Client) []wire.ClassWork {
+func (e *Entry) askWork(client *rpcnet.Client) wire.WorkReply {
 	ctx, cancel := context.WithTimeout(e.ctx, workTimeout)
 	defer cancel()
 	var reply wire.WorkReply
 	if client.Call(ctx, wire.ServiceEntry+".Work", &wire.WorkRequest{}, &reply) != nil {
-		return nil
+		return wire.WorkReply{}
 	}
-	return reply.Classes
+	return reply
 }
 
 // ownWork returns the work of this entry instance.
-func (e *Entry) ownWork() []wire.ClassWork {
+func (e *Entry) ownWork() wire.WorkReply {
 	times := map[wire.Class]resource.Histogram{}
 	if e.deps.Metrics != nil {
 		for _, s := range e.deps.Metrics.Snapshot() {
 			times[wire.Class{Team: s.Team, Kind: s.Kind}] = s.Response
 		}
 	}
-	var out []wire.ClassWork
-	e.core.call(func(time.Duration) {
+	var out wire.WorkReply
+	e.core.call(func(now time.Duration) {
+		out.Shares = e.core.shareStates(now)
 		for _, c := range e.core.machine.Stats() {
 			w := wire.ClassWork{
 				Class: c.Class, Queued: int64(c.Queued), Running: int64(c.Running),
@@ -139,7 +142,7 @@
 			}
 			t := times[c.Class]
 			w.Buckets, w.SumMs, w.MaxMs = t.Buckets, t.Mean*float64(t.Count), t.Max
-			out = append(out, w)
+			out.Classes = append(out.Classes, w)
 		}
 	})
 	return out
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -128,6 +128,36 @@
 	InForce    int         `json:"inForce"`
 	Conditions []Condition `json:"conditions,omitempty"`
 	Work       *Work       `json:"work,omitempty"`
+	// Shares are the parts of a limit or quota, one element per amount.
+	Shares []AmountShares `json:"shares,omitempty"`
+}
+
+// ConditionLowering is the condition of a resource while a decrease of one of
+// its amounts is under way.
+const ConditionLowering = "Lowering"
+
+// AmountShares tells how one amount is divided among the entry instances.
+type AmountShares struct {
+	// Amount is concurrency, rate or queue.
+	Amount string `json:"amount"`
+	Total  int64  `json:"total"`
+	// Held is what no live entry instance holds: it is on its way, or belongs
+	// to an incarnation of HeldBy whose tasks are not known to have ended.
+	Held   int64    `json:"held"`
+	HeldBy []string `json:"heldBy,omitempty"`
+	// Holders are the live entry instances.
+	Holders []HolderShare `json:"holders,omitempty"`
+}
+
+// HolderShare is the part of one entry instance. A negative share is the
+// result of a decrease.
+type HolderShare struct {
+	Process string `json:"process"`
+	Share   int64  `json:"share"`
+	// Used is the number of running tasks, starts of the last second, or
+	// waiting tasks; Wanting is the share that waiting tasks lack.
+	Used    int64 `json:"used"`
+	Wanting int64 `json:"wanting,omitempty"`
 }
 
 // Work is how the work under a kind or team fares, summed over entry instances.
--- a/internal/resourceapi/api.go
+++ b/internal/resourceapi/api.go
@@ -66,6 +66,9 @@
 	InForce(rev uint64) (processes, inForce int, since time.Time)
 	// Work sums up the work of a kind or team; nil if there is none.
 	Work(ref resource.Ref) *resource.Work
+	// Shares returns how the amounts of a limit or team are divided among the
+	// entry instances, and the conditions that follow.
+	Shares(ref resource.Ref) ([]resource.AmountShares, []resource.Condition)
 }
 
 // Options are the dependencies of an API.
@@ -194,6 +197,10 @@
 	if r.Type == resource.TypeKind || r.Type == resource.TypeTeam {
 		s.Work = a.opts.Status.Work(r)
 	}
+	s.Shares, s.Conditions = a.opts.Status.Shares(r)
+	for i := range s.Conditions {
+		s.Conditions[i].Generation = meta.Generation
+	}
 	return s
 }
 
--- a/internal/resourceapi/api_test.go
+++ b/internal/resourceapi/api_test.go
@@ -46,6 +46,9 @@
 }
 
 func (s *status) Work(resource.Ref) *resource.Work { return &resource.Work{Queued: 3} }
+func (s *status) Shares(resource.Ref) ([]resource.AmountShares, []resource.Condition) {
+	return nil, nil
+}
 
 type fixture struct {
 	t      *testing.T
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -440,7 +440,18 @@
 	MaxMs   float64 `msgpack:"m,omitempty"`
 }
 
+// ShareState is the share of one entry incarnation in a limit.
+type ShareState struct {
+	Limit   string `msgpack:"l"`
+	Process string `msgpack:"p"`
+	Share   int64  `msgpack:"s"`
+	Used    int64  `msgpack:"u"`
+	Want    int64  `msgpack:"w,omitempty"`
+}
+
 // WorkReply answers a WorkRequest.
 type WorkReply struct {
 	Classes []ClassWork `msgpack:"c,omitempty"`
+	// Shares are those with a share, a use or a demand other than zero.
+	Shares []ShareState `msgpack:"s,omitempty"`
 }
