--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -112,12 +112,16 @@
 	if m.cfg.Limiter != nil {
 		m.cfg.Limiter.Started(m.now, c.key)
 	}
+	if m.cfg.Waited != nil {
+		m.cfg.Waited(c.key, m.now-t.job.at)
+	}
 	if len(w.batch) == 0 {
 		m.batched = append(m.batched, w)
 	}
 	w.batch = append(w.batch, wire.Start{
 		Credit: t.credit, Task: t.key(), Class: c.key, Payload: t.body,
 		DeadlineMs: max(1, int64((t.job.deadline-m.now)/time.Millisecond)),
+		JobTasks:   len(t.job.tasks),
 	})
 }
 
--- a/internal/decision/membership/membership_test.go
+++ b/internal/decision/membership/membership_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// TestMayReturn guards against a member that was cut off for long being shut
+// out for ever, and against a replaced incarnation returning.
+func TestMayReturn(t *testing.T) {
+	tab := New(Config{SilentAfter: 3, DeadAfter: 10, Retain: 100, MayReturn: true})
+	a := peer("a", 1, "z")
+	tab.Seen(0, a, "r", 0)
+	tab.Tick(20)
+	if m, _ := tab.Get(a.Process); m.State != Dead {
+		t.Fatalf("after a long silence: %+v", m)
+	}
+	if !tab.Seen(21, a, "r", 0) {
+		t.Fatal("a member that was cut off may not return")
+	}
+	tab.Seen(22, peer("a", 2, "z"), "r", 0)
+	if tab.Seen(23, a, "r", 0) {
+		t.Fatal("a replaced incarnation returned")
+	}
+}
+
 // TestGroup guards against a rack or zone loss being reported per process.
 func TestGroup(t *testing.T) {
 	g := NewGrouper(10)
@@ -101,3 +120,18 @@
 		t.Fatal("reported twice")
 	}
 }
+
+// TestGroupUnknownPlace guards against a "zone lost" or "rack lost" for members
+// without a place: dead incarnations known only by name, and entry instances.
+func TestGroupUnknownPlace(t *testing.T) {
+	g := NewGrouper(10)
+	for _, name := range []string{"a", "b"} {
+		g.Add(1, Member{Peer: peer(name, 1, "")})
+		g.Add(1, Member{Peer: peer("entry-"+name, 1, "z1")})
+	}
+	for _, l := range g.Due(11, []Member{{Peer: peer("c", 1, "z1"), Rack: "r1"}}) {
+		if l.Scope != ScopeProcess {
+			t.Errorf("loss %+v", l)
+		}
+	}
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomturn/cardamomturn/internal/backend"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/sidecar"
@@ -37,7 +39,9 @@
 }
 
 type site struct {
-	t        testing.TB
+	t testing.TB
+	// doc is the configuration; nil selects testDocument.
+	doc      *resource.Document
 	entries  []*Entry
 	sidecars []*sidecar.Sidecar
 	backends []*backend.Backend
@@ -45,10 +49,13 @@
 
 func (s *site) addEntry(name string, peers ...string) *Entry {
 	s.t.Helper()
+	if s.doc == nil {
+		s.doc = testDocument()
+	}
 	e, err := New(Config{
 		Instance: name, Zone: "z1", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		InternalAddress: "127.0.0.1:0", Peers: peers, BeatInterval: 50 * time.Millisecond, Window: time.Second,
-	}, Deps{Configuration: fixedConfig{testDocument()}})
+	}, Deps{Configuration: fixedConfig{s.doc}})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -156,6 +163,47 @@
 	}
 }
 
+// TestKillAnswersNothing guards against an answer of a killed instance, which
+// would be final for a caller who can still learn the outcome elsewhere.
+func TestKillAnswersNothing(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	const callers = 8
+	failed := make(chan error, callers)
+	for i := range callers {
+		r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		r.SetRequestURI("http://" + a.CallerAddr() + "/v1/jobs")
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString(fmt.Sprintf(`{"submissionID":"%sx%d","team":"studio","kind":"seat","tasks":[{"payload":{"sleepMs":5000}}]}`, a.prefix(), i))
+		go func() { failed <- fasthttp.Do(r, w) }()
+	}
+	for a.inFlight.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	a.Kill()
+	for range callers {
+		if err := <-failed; err == nil {
+			t.Fatal("a killed instance answered")
+		}
+	}
+}
+
+// TestAskedBeforeArrival guards against "not run" about a submission that
+// arrives after the question and runs.
+func TestAskedBeforeArrival(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	id := a.prefix() + "x"
+	if _, ans := do(t, fasthttp.MethodGet, "http://"+a.CallerAddr()+"/v1/jobs/"+id, nil); ans.NotRun || !ans.State.Final() {
+		t.Fatalf("before the submission: %+v", ans)
+	}
+	if _, ans := post(t, a, id, 1, 1); ans.State != jobapi.JobComplete {
+		t.Fatalf("the submission: %+v", ans)
+	}
+}
+
 // TestDeadOwner guards against a false answer about a submission whose owner
 // died: what the sidecars completed is found, nothing runs twice.
 func TestDeadOwner(t *testing.T) {
@@ -184,6 +232,11 @@
 	if ans.Tasks[0].State != jobapi.TaskCompleted {
 		t.Fatalf("the finished task was not found: %+v", ans)
 	}
+	// Without the payload the number of tasks comes from the sidecars.
+	_, asked := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id, nil)
+	if asked.State != jobapi.JobComplete || len(asked.Tasks) != 1 {
+		t.Fatalf("the same submission on a GET: %+v", asked)
+	}
 	_, gone := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id[:len(id)-1]+"other", nil)
 	if !gone.NotRun {
 		t.Fatalf("a submission that never arrived: %+v", gone)
@@ -209,3 +262,115 @@
 		}
 	}
 }
+
+// TestUnknownSubmission guards against a query that denies a job which may
+// still be under way.
+func TestUnknownSubmission(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	id := a.prefix() + "x1"
+	for _, wait := range []string{"", "?wait=true"} {
+		status, ans := do(t, fasthttp.MethodGet, "http://"+a.CallerAddr()+"/v1/jobs/"+id+wait, nil)
+		if status != 404 || ans.NotRun || ans.SafeToResubmit || ans.Reason != jobapi.ReasonUnknownSubmission {
+			t.Errorf("query of an unknown ID: status %d, %+v", status, ans)
+		}
+	}
+	if status, ans := post(t, a, id, 1, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Errorf("submission after the query: status %d, %+v", status, ans)
+	}
+}
+
+// TestHandOver guards against a graceful shutdown after which the limit shares
+// of the instance stay unused.
+func TestHandOver(t *testing.T) {
+	five := int64(5)
+	s := &site{t: t, doc: testDocument()}
+	s.doc.Limits = map[string]*resource.Limit{"seat": {Spec: resource.LimitSpec{Kind: "seat", Amounts: resource.Amounts{Concurrency: &five}}}}
+	a := s.addEntry("a")
+	b := s.addEntry("b", a.InternalAddr())
+	s.addWorker("w1", a, b)
+	a.Reload()
+	b.Reload()
+	for end := time.Now().Add(20 * time.Second); len(a.core.view.Load().peers) == 0 || len(b.core.view.Load().peers) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the instances don't see each other")
+		}
+	}
+	// The first instance gets the whole limit, as at the first allocation.
+	plan := a.PlanAllocation(nil)
+	if plan == nil {
+		t.Fatal("no allocation")
+	}
+	a.ApplyAllocation(plan)
+	b.ApplyAllocation(plan)
+	if status, ans := post(t, a, "", 1, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Fatalf("before: status %d, %+v", status, ans)
+	}
+	if err := a.shutdown(); err != nil {
+		t.Fatal(err)
+	}
+	if status, ans := post(t, b, "", 10, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Errorf("after: status %d, %s %s", status, ans.State, ans.Reason)
+	}
+}
+
+// TestBadRequests guards against bad input without a clear error, and against
+// it disturbing the next request.
+func TestBadRequests(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	many := `{"team":"studio","kind":"seat","tasks":[{}` + strings.Repeat(",{}", 330) + `]}`
+	future := ident.Prefix(*a.core.self.Load(), 1<<40) + "x"
+	for _, c := range []struct {
+		name, body string
+		status     int
+		says       string
+	}{
+		{"malformed", `{"team":`, 400, "malformed JSON"},
+		{"wrong type", `{"team":7}`, 400, "wrong type"},
+		{"unknown field", `{"teem":"studio"}`, 400, "teem"},
+		{"trailing data", `{"team":"studio","kind":"seat","tasks":[{}]}{}`, 400, "after the object"},
+		{"too many tasks", many, 422, "got 331"},
+		{"no tasks", `{"team":"studio","kind":"seat","tasks":[]}`, 422, "got 0"},
+		{"bad ID", `{"submissionID":"x","team":"studio","kind":"seat","tasks":[{}]}`, 400, "submission ID"},
+		{"future window", `{"submissionID":"` + future + `","team":"studio","kind":"seat","tasks":[{}]}`, 400, "not begun"},
+		{"too large", strings.Repeat("x", DefaultMaxBody+1), 413, "too large"},
+	} {
+		r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		r.SetRequestURI("http://" + a.CallerAddr() + "/v1/jobs")
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString(c.body)
+		if err := fasthttp.DoTimeout(r, w, 10*time.Second); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		if w.StatusCode() != c.status || !strings.Contains(string(w.Body()), c.says) || !strings.Contains(string(w.Body()), `"notRun":true`) {
+			t.Errorf("%s: status %d, %s", c.name, w.StatusCode(), w.Body())
+		}
+	}
+	if status, ans := post(t, a, "", 2, 1); status != 200 || ans.State != jobapi.JobComplete {
+		t.Fatalf("a job after bad requests: %d %+v", status, ans)
+	}
+}
+
+// TestDeadSidecar guards against a job waiting for its deadline after the
+// sidecar that ran its task has ended.
+func TestDeadSidecar(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	awaitPeers(t, a)
+	answer := make(chan jobapi.JobAnswer, 1)
+	go func() { _, ans := post(t, a, "", 1, 9000); answer <- ans }()
+	for started := int64(0); started == 0; started, _ = s.backends[0].Counts() {
+		time.Sleep(time.Millisecond)
+	}
+	s.sidecars[0].Kill()
+	ans := <-answer
+	s.backends[0].Kill()
+	if ans.State != jobapi.JobFailed || ans.Reason != jobapi.ReasonOutcomeUnknown || ans.Tasks[0].State != jobapi.TaskMayHaveRun {
+		t.Fatalf("%+v", ans)
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,7 +30,7 @@
 		case ownerDead:
 			return e.recoverJob(ctx, id, req.Job)
 		case ownerUnknown:
-			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "no entry instance with this incarnation is known here")
+			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "the owner of the submission is not known or not reached here")
 		}
 		callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		var reply wire.ForwardReply
@@ -39,8 +40,8 @@
 			return reply.Answer
 		}
 		var failure *rpcnet.Error
-		if errors.As(err, &failure) && failure.Kind == nil {
-			// The process at that address is another incarnation.
+		if errors.As(err, &failure) && failure.Kind == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			// The process at that address is another incarnation, or has ended.
 			e.core.call(func(now time.Duration) { e.core.killEntry(now, id.Owner) })
 			continue
 		}
@@ -77,6 +78,10 @@
 		e.core.call(func(now time.Duration) { e.core.killEntry(now, p) })
 		return nil, ownerDead
 	}
+	if known && m.Peer.Region != e.cfg.Region {
+		// The other region may only be cut off and still run the job.
+		return nil, ownerUnknown
+	}
 	if known {
 		// Silent for longer than the bound: a caller asks, so it is given up.
 		e.core.call(func(now time.Duration) { e.core.killEntry(now, m.Peer.Process) })
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -80,6 +80,7 @@
 	if _, err := io.ReadFull(f.br, f.in); err != nil {
 		return err
 	}
+	traffic.receivedFrames.Add(1)
 	f.dec.Reset(bytes.NewReader(f.in))
 	if err := f.dec.Decode(header); err != nil {
 		return errors.Annotatef(ErrFrame, "header: %v", err)
@@ -119,6 +120,7 @@
 		return errors.Annotatef(ErrFrame, "length %d, allowed 1 to %d", n, MaxFrame)
 	}
 	binary.BigEndian.PutUint32(f.out.Bytes(), uint32(n))
+	traffic.sentFrames.Add(1)
 	_, err := f.conn.Write(f.out.Bytes())
 	return err
 }
@@ -169,7 +171,11 @@
 
 func (c *serverCodec) Close() error { return c.close() }
 
-type clientCodec struct{ *framer }
+type clientCodec struct {
+	*framer
+	// onLost is told when the connection breaks; it may be nil.
+	onLost func()
+}
 
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
@@ -178,6 +184,9 @@
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var h responseHeader
 	if err := c.next(&h); err != nil {
+		if c.onLost != nil {
+			c.onLost()
+		}
 		return err
 	}
 	r.ServiceMethod = h.Method
--- a/internal/rpcnet/rpcnet_test.go
+++ b/internal/rpcnet/rpcnet_test.go
@@ -105,6 +105,36 @@
 	}
 }
 
+// TestOnLost guards against the end of a peer staying unnoticed until the next
+// call, and against the client's own Close being reported as a loss.
+func TestOnLost(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer()
+	if err := s.Register("Echo", Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(lis)
+	lost := make(chan struct{}, 2)
+	c := NewClient(lis.Addr().String())
+	c.OnLost = func() { lost <- struct{}{} }
+	var out Text
+	if err := c.Call(context.Background(), "Echo.Say", &Text{S: "a"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	<-lost
+	addr, _ := startServer(t)
+	d := NewClient(addr)
+	d.OnLost = func() { t.Error("the client's own Close is reported as a loss") }
+	if err := d.Call(context.Background(), "Echo.Say", &Text{S: "a"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	d.Close()
+}
+
 // TestCallToClosedPort guards against a refused connection being reported as
 // a call that may have reached the peer.
 func TestCallToClosedPort(t *testing.T) {
@@ -120,3 +150,34 @@
 		t.Fatalf("call to a closed port: %v", err)
 	}
 }
+
+// TestAppendedField guards against processes of two versions that can't talk:
+// a message with an appended field is read by the earlier version and the
+// reverse.
+func TestAppendedField(t *testing.T) {
+	type older struct{ A, B string }
+	type newer struct{ A, B, C string }
+	send := func(in, out any) {
+		t.Helper()
+		a, b := net.Pipe()
+		defer a.Close()
+		defer b.Close()
+		go newFramer(a).write(requestHeader{Method: "m", Seq: 1}, in)
+		f := newFramer(b)
+		var h requestHeader
+		if err := f.next(&h); err != nil || h.Method != "m" || h.Seq != 1 {
+			t.Fatalf("header %+v, %v", h, err)
+		}
+		if err := f.body(out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var o older
+	if send(&newer{"a", "b", "c"}, &o); o != (older{"a", "b"}) {
+		t.Fatalf("the earlier version reads %+v", o)
+	}
+	var n newer
+	if send(&older{"a", "b"}, &n); n != (newer{"a", "b", ""}) {
+		t.Fatalf("the later version reads %+v", n)
+	}
+}
--- a/test/experiment/cluster/cluster.go
+++ b/test/experiment/cluster/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/dispatch"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/test/experiment/history"
 	"github.com/cardamomturn/cardamomturn/test/experiment/load"
@@ -48,6 +49,10 @@
 	// directions; connections stay open. Resume ends that.
 	Pause(r Role, i int) error
 	Resume(r Role, i int) error
+	// Cut holds back the traffic between two entry instances; connections stay
+	// open. Join ends that.
+	Cut(i, j int)
+	Join(i, j int)
 	// CallerAddress is the "ip:port" of an entry instance's caller port
 	// through the client delay. It stays the same over restarts.
 	CallerAddress(i int) string
@@ -59,6 +64,10 @@
 	Processes() []Process
 	// SetStore sets the store's faults, replacing the earlier ones.
 	SetStore(f StoreFault)
+	// SaveStore keeps the store's present state; restore goes back to it.
+	SaveStore() (restore func())
+	// StoreCalls returns the calls of the store so far.
+	StoreCalls() StoreCalls
 	// Counters returns the totals over all processes since the start,
 	// including those that have ended.
 	Counters() Counters
@@ -94,9 +103,41 @@
 	LoseAnswers float64
 }
 
+// StoreCalls counts calls of the store, failed ones included.
+type StoreCalls struct {
+	// Reads include each start of a watch.
+	Reads, Writes int
+	// Watches is the number of watches pending now.
+	Watches int
+}
+
 // Counters count messages as design section 5 defines them.
 type Counters struct {
 	Starts  int64
 	Wasted  int64
 	Control int64
+	// Waste divides Wasted by cause.
+	Waste dispatch.Waste
+}
+
+// Plus returns the sum of two counts.
+func (a Counters) Plus(b Counters) Counters { return a.combine(b, 1) }
+
+// Minus returns the difference of two counts.
+func (a Counters) Minus(b Counters) Counters { return a.combine(b, -1) }
+
+func (a Counters) combine(b Counters, sign int64) Counters {
+	v, w := a.Waste, b.Waste
+	return Counters{
+		Starts: a.Starts + sign*b.Starts, Wasted: a.Wasted + sign*b.Wasted, Control: a.Control + sign*b.Control,
+		Waste: dispatch.Waste{
+			RefusedStarts:   v.RefusedStarts + sign*w.RefusedStarts,
+			EmptyRecalls:    v.EmptyRecalls + sign*w.EmptyRecalls,
+			ReturnedCredits: v.ReturnedCredits + sign*w.ReturnedCredits,
+			DemandMessages:  v.DemandMessages + sign*w.DemandMessages,
+			Fences:          v.Fences + sign*w.Fences,
+			Duplicates:      v.Duplicates + sign*w.Duplicates,
+			ExpiredCredits:  v.ExpiredCredits + sign*w.ExpiredCredits,
+		},
+	}
 }
