--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -163,6 +163,47 @@
 	}
 }
 
+// TestKillAnswersNothing guards against an answer of a killed instance, which
+// would be final for a caller who can still learn the outcome elsewhere.
+func TestKillAnswersNothing(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	const callers = 8
+	failed := make(chan error, callers)
+	for i := range callers {
+		r, w := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		r.SetRequestURI("http://" + a.CallerAddr() + "/v1/jobs")
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.SetBodyString(fmt.Sprintf(`{"submissionID":"%sx%d","team":"studio","kind":"seat","tasks":[{"payload":{"sleepMs":5000}}]}`, a.prefix(), i))
+		go func() { failed <- fasthttp.Do(r, w) }()
+	}
+	for a.inFlight.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	a.Kill()
+	for range callers {
+		if err := <-failed; err == nil {
+			t.Fatal("a killed instance answered")
+		}
+	}
+}
+
+// TestAskedBeforeArrival guards against "not run" about a submission that
+// arrives after the question and runs.
+func TestAskedBeforeArrival(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	id := a.prefix() + "x"
+	if _, ans := do(t, fasthttp.MethodGet, "http://"+a.CallerAddr()+"/v1/jobs/"+id, nil); ans.NotRun || !ans.State.Final() {
+		t.Fatalf("before the submission: %+v", ans)
+	}
+	if _, ans := post(t, a, id, 1, 1); ans.State != jobapi.JobComplete {
+		t.Fatalf("the submission: %+v", ans)
+	}
+}
+
 // TestDeadOwner guards against a false answer about a submission whose owner
 // died: what the sidecars completed is found, nothing runs twice.
 func TestDeadOwner(t *testing.T) {
@@ -191,6 +232,11 @@
 	if ans.Tasks[0].State != jobapi.TaskCompleted {
 		t.Fatalf("the finished task was not found: %+v", ans)
 	}
+	// Without the payload the number of tasks comes from the sidecars.
+	_, asked := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id, nil)
+	if asked.State != jobapi.JobComplete || len(asked.Tasks) != 1 {
+		t.Fatalf("the same submission on a GET: %+v", asked)
+	}
 	_, gone := do(t, fasthttp.MethodGet, "http://"+b.CallerAddr()+"/v1/jobs/"+id[:len(id)-1]+"other", nil)
 	if !gone.NotRun {
 		t.Fatalf("a submission that never arrived: %+v", gone)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -15,13 +15,15 @@
 )
 
 // settleMargin is added to the longest deadline before the share of a dead
-// holder is taken back.
+// holder is taken back without an answer of its sidecars.
 const settleMargin = 2 * time.Second
 
 // limitsTold adds the limit shares to a heartbeat.
 func (c *core) limitsTold(now time.Duration, to ident.Process, b *wire.PeerBeat) {
 	b.Given = c.ledger.Given(to)
-	b.Want = c.ledger.Wants(now)
+	if !c.suspended {
+		b.Want = c.ledger.Wants(now)
+	}
 	b.Flows = c.ledger.Flows()
 	if c.allocation != nil {
 		b.Allocation = c.allocation.Seq
@@ -40,6 +42,33 @@
 	}
 }
 
+// moveShares asks the peers for limit share and tells those that were given
+// some. Share is offered after waiting tasks were placed, once per tick.
+func (c *core) moveShares(now time.Duration) {
+	if c.ledger.Asking() {
+		c.e.beats.poke()
+	}
+	if c.offer {
+		c.offer = false
+		c.ledger.Offer(now)
+	}
+	for _, holder := range c.ledger.Untold() {
+		if m, ok := c.entries.Get(parseHolder(holder)); ok {
+			c.e.beats.pokeOne(m.Peer.Address)
+		}
+	}
+}
+
+// parseHolder returns the incarnation with the given text form, or the zero
+// value.
+func parseHolder(holder string) ident.Process {
+	id, err := ident.Parse(holder + ".0.x")
+	if err != nil {
+		return ident.Process{}
+	}
+	return id.Owner
+}
+
 // pullAllocation reads the limit allocation from a peer.
 func (e *Entry) pullAllocation(peer *rpcnet.Client) {
 	e.wg.Go(func() {
@@ -112,7 +141,9 @@
 // more and their tasks have ended.
 func (c *core) settle(now time.Duration, from *escrow.Allocation) *escrow.Allocation {
 	var dead []string
-	for holder := range from.Holders() {
+	holders := from.Holders()
+	c.forgetReclaims(holders)
+	for holder := range holders {
 		if c.settled(now, holder) {
 			dead = append(dead, holder)
 		}
@@ -137,9 +168,8 @@
 // settled reports whether a holder is dead and its tasks have ended. It
 // declares a holder dead that is missing for long enough.
 func (c *core) settled(now time.Duration, holder string) bool {
-	id, err := ident.Parse(holder + ".0.x")
-	p := id.Owner
-	if err != nil || p == *c.self.Load() {
+	p := parseHolder(holder)
+	if p.IsZero() || p == *c.self.Load() {
 		return false
 	}
 	m, known := c.entries.Get(p)
@@ -159,7 +189,7 @@
 		}
 		return false
 	}
-	return now-max(since, m.Changed) > c.longestDeadline()+c.e.cfg.CreditTTL+settleMargin
+	return c.ended(now, p, max(since, m.Changed))
 }
 
 // replaced reports whether a live process has taken the instance's name.
@@ -176,20 +206,27 @@
 }
 
 // missingBound is the time after which a missing holder is declared dead. A
-// holder of another region may only be cut off.
+// holder of another region may only be cut off. One of the own region that no
+// other entry instance hears either is declared dead early.
 func (c *core) missingBound(m membership.Member, known bool) time.Duration {
 	if known && m.Peer.Region == c.e.cfg.Region {
+		if c.unheard(m.Peer.Process) {
+			return c.e.cfg.SilentAfter
+		}
 		return c.e.cfg.GoneAfter
 	}
 	return c.e.cfg.ReclaimAfter
 }
 
-func (c *core) longestDeadline() time.Duration {
-	longest := int64(0)
-	for _, k := range c.document.Kinds {
-		longest = max(longest, k.Spec.DeadlineMs)
+// unheard reports whether there are other live entry instances and none of
+// them lists an incarnation as live.
+func (c *core) unheard(p ident.Process) bool {
+	for _, ps := range c.peers {
+		if ps.entries[p] {
+			return false
+		}
 	}
-	return time.Duration(longest) * time.Millisecond
+	return len(c.entries.In(membership.Live)) > 0
 }
 
 // handOver gives the limit shares to a peer, so that they don't stay unused
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -41,7 +41,8 @@
 	})
 }
 
-// getOwn returns the answer to a job of this process.
+// getOwn returns the answer to a job of this process. A submission that has not
+// arrived yet is not called "not run", because it may arrive later and run.
 func (e *Entry) getOwn(ctx context.Context, id ident.ID, wait bool) jobapi.JobAnswer {
 	return e.ask(ctx, id, wait, func(now time.Duration, m *dispatch.Machine) jobapi.JobAnswer {
 		a, known := m.Answer(now, id.String())
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -22,10 +22,14 @@
 	hash      uint64
 	// sidecarsInForce is the lowest revision in force at all of sidecars.
 	sidecarsInForce uint64
-	// have is the hash of this process's sidecar list that the peer holds, and
-	// entriesHash that of the live entry instances that the peer knows.
-	have, entriesHash uint64
-	draining          bool
+	// entries are the incarnations that the peer lists as live, identified by
+	// entriesHash.
+	entries     map[ident.Process]bool
+	entriesHash uint64
+	// haveSidecars and haveEntries are the hashes of this process's lists that
+	// the peer holds.
+	haveSidecars, haveEntries uint64
+	draining                  bool
 	// dead are the entry incarnations that the peer holds dead, and flows its
 	// final limit flows with them.
 	dead  []ident.Process
@@ -67,9 +71,7 @@
 			c.viewEntry(v, m)
 		}
 	}
-	for _, e := range v.entries {
-		v.entriesHash += xxhash.Sum64String(e.Process.String())
-	}
+	v.entriesHash = hashEntries(v.entries)
 	for _, m := range c.sidecars.In(membership.Live) {
 		s := c.links[m.Peer.Process]
 		if s == nil {
@@ -99,6 +101,13 @@
 	}
 }
 
+func hashEntries(entries []wire.Peer) (hash uint64) {
+	for _, e := range entries {
+		hash += xxhash.Sum64String(e.Process.String())
+	}
+	return hash
+}
+
 func hashRefs(refs []wire.SidecarRef) uint64 {
 	h := xxhash.New()
 	for _, r := range refs {
@@ -135,14 +144,21 @@
 		c.publish()
 	}
 	ps.window, ps.revisions, ps.draining = b.Window, b.Revisions, b.Draining
-	ps.have, ps.entriesHash = b.HaveHash, b.EntriesHash
+	ps.haveSidecars, ps.haveEntries = b.HaveHash, b.HaveEntries
 	if b.SidecarsHash != ps.hash && hashRefs(b.Sidecars) == b.SidecarsHash {
+		c.unlist(now, ps.sidecars)
 		ps.sidecars, ps.hash, ps.sidecarsInForce = b.Sidecars, b.SidecarsHash, 0
 	}
 	if b.SidecarsHash == ps.hash {
 		ps.sidecarsInForce = max(ps.sidecarsInForce, b.SidecarsInForce)
 	}
 	c.e.config.NoteKnown(b.Revisions.Known)
+	if hashEntries(b.Entries) == b.EntriesHash {
+		ps.entries, ps.entriesHash = make(map[ident.Process]bool, len(b.Entries)), b.EntriesHash
+		for _, q := range b.Entries {
+			ps.entries[q.Process] = true
+		}
+	}
 	for _, q := range b.Entries {
 		c.hearOf(q)
 	}
@@ -182,6 +198,9 @@
 		c.losses.Add(now, t.Member)
 		c.ledger.Close(p)
 		if ps := c.peers[p]; ps != nil {
+			if ps.hash != 0 {
+				c.noteSidecars(p, ps.sidecars)
+			}
 			go ps.client.Close()
 			delete(c.peers, p)
 		}
@@ -235,12 +254,12 @@
 	b.SidecarsInForce = c.sidecarsInForce(v)
 	ps := c.peers[to]
 	if ps != nil {
-		b.HaveHash = ps.hash
+		b.HaveHash, b.HaveEntries = ps.hash, ps.entriesHash
 	}
-	if ps == nil || ps.have != v.refsHash {
+	if ps == nil || ps.haveSidecars != v.refsHash {
 		b.Sidecars = v.refs
 	}
-	if ps == nil || ps.entriesHash != v.entriesHash {
+	if ps == nil || ps.haveEntries != v.entriesHash {
 		b.Entries = v.entries
 	}
 	c.limitsTold(now, to, &b)
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -18,8 +18,8 @@
 		have := false
 		e.core.call(func(now time.Duration) {
 			ps := e.core.peers[p]
-			have = ps != nil && ps.hash == peer.core.view.Load().refsHash && ps.have == e.core.view.Load().refsHash &&
-				ps.entriesHash == e.core.view.Load().entriesHash
+			have = ps != nil && ps.hash == peer.core.view.Load().refsHash && ps.haveSidecars == e.core.view.Load().refsHash &&
+				ps.haveEntries == e.core.view.Load().entriesHash
 			b = e.core.ownBeat(now, p)
 		})
 		if have {
@@ -53,7 +53,7 @@
 		t.Errorf("heartbeat to an unknown peer has %d sidecars and %d entry instances, want 1 and 2", len(fresh.Sidecars), len(fresh.Entries))
 	}
 	a.core.call(func(now time.Duration) {
-		a.core.peers[b.Self().Process].have = 1
+		a.core.peers[b.Self().Process].haveSidecars = 1
 		fresh = a.core.ownBeat(now, b.Self().Process)
 	})
 	if len(fresh.Sidecars) != 1 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,6 +54,8 @@
 	Payload []byte `msgpack:"p,omitempty"`
 	// DeadlineMs is the time left until the job's deadline, in milliseconds.
 	DeadlineMs int64 `msgpack:"d"`
+	// JobTasks is the number of tasks of the job, for its recovery.
+	JobTasks int `msgpack:"n,omitempty"`
 }
 
 // RefuseCode says why a start was refused. A refused start has not happened
@@ -86,6 +88,9 @@
 	Weight float64 `msgpack:"g"`
 	// RunMs is the estimated run time of a task in milliseconds.
 	RunMs int64 `msgpack:"m"`
+	// Slots is the number of slots of all workers that could run the tasks. A
+	// sidecar takes the part of its own slots in them; zero means all tasks.
+	Slots int `msgpack:"s,omitempty"`
 }
 
 // MaxDemand is the largest number of classes in one demand summary.
@@ -288,6 +293,8 @@
 // FenceOwnerReply names the incarnation that has fenced the owners.
 type FenceOwnerReply struct {
 	Sidecar ident.Process `msgpack:"s"`
+	// Busy are those of the owners whose tasks still run here.
+	Busy []ident.Process `msgpack:"b,omitempty"`
 }
 
 // LedgerRequest asks for the ledger entries of a submission.
@@ -304,6 +311,8 @@
 	Known       bool          `msgpack:"k"`
 	FirstWindow uint64        `msgpack:"w"`
 	Entries     []LedgerEntry `msgpack:"e,omitempty"`
+	// JobTasks is the number of tasks of the job; zero if none has started here.
+	JobTasks int `msgpack:"n,omitempty"`
 }
 
 // ForwardOp is an operation on a submission that another instance owns.
@@ -354,6 +363,10 @@
 	Limit string `msgpack:"l"`
 	Epoch uint64 `msgpack:"e"`
 	Want  int64  `msgpack:"w"`
+	// Firm is the part of Want that no other limit holds back; it entitles to
+	// share that the receiver uses itself. Share is the sender's share.
+	Firm  int64 `msgpack:"f,omitempty"`
+	Share int64 `msgpack:"s,omitempty"`
 }
 
 // ShareFlow is what a live holder of a limit gave to and received from a dead one.
@@ -386,9 +399,11 @@
 	Gone []ident.Process `msgpack:"k,omitempty"`
 	// Entries are the entry instances that the sender knows as live, itself
 	// included, and EntriesHash identifies them; the list is left out if the
-	// hash last heard from the receiver is the same.
-	Entries     []Peer          `msgpack:"l,omitempty"`
-	EntriesHash uint64          `msgpack:"n,omitempty"`
+	// HaveEntries last heard from the receiver shows that it holds the same list.
+	Entries     []Peer `msgpack:"l,omitempty"`
+	EntriesHash uint64 `msgpack:"n,omitempty"`
+	// HaveEntries is the hash of the receiver's Entries that the sender holds.
+	HaveEntries uint64          `msgpack:"y,omitempty"`
 	Dead        []ident.Process `msgpack:"d,omitempty"`
 	Given       []ShareTotal    `msgpack:"g,omitempty"`
 	Want        []ShareDemand   `msgpack:"m,omitempty"`
--- a/test/experiment/live/nodes.go
+++ b/test/experiment/live/nodes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -24,16 +23,6 @@
 // retainWindows keeps answers for a minute.
 const retainWindows = 60
 
-// freeAddress reserves a loopback address for a process that starts later.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Annotate(err, "find a free port")
-	}
-	defer lis.Close()
-	return lis.Addr().String(), nil
-}
-
 // runner is a process that runs until stopped or killed.
 type runner struct {
 	mu      sync.Mutex // guards the fields below
@@ -115,7 +104,7 @@
 	n.cfg = entry.Config{
 		Instance: cluster.Name(cluster.Entry, i), Zone: d.Zone(i), Region: "region-1",
 		CallerAddress: addrs[0], OperatorAddress: addrs[1], InternalAddress: addrs[2],
-		Window: window, RetainWindows: retainWindows, Dial: c.net.dialer(i, n.gate),
+		Window: window, RetainWindows: retainWindows, Dial: c.net.dialer(i, addrs[2], n.gate),
 	}
 	for _, other := range c.entries {
 		n.cfg.Peers = append(n.cfg.Peers, other.cfg.InternalAddress)
@@ -222,6 +211,7 @@
 		out.Starts += c.Starts
 	}
 	w := s.Waste
+	out.Waste = w
 	out.Wasted = w.RefusedStarts + w.EmptyRecalls + w.ReturnedCredits + w.DemandMessages + w.Fences + w.Duplicates
 	return out
 }
@@ -250,7 +240,7 @@
 	n.cfg = sidecar.Config{
 		Instance: cluster.Name(cluster.Sidecar, i), Zone: d.Zone(i), Rack: d.Rack(i),
 		LocalAddress: addrs[0], InternalAddress: addrs[1], Attachments: len(c.entries),
-		LedgerRetain: (retainWindows + 1) * window, Dial: c.net.dialer(i, n.gate),
+		LedgerRetain: (retainWindows + 1) * window, Dial: c.net.dialer(i, addrs[1], n.gate),
 	}
 	for _, e := range c.entries {
 		n.cfg.EntryAddresses = append(n.cfg.EntryAddresses, e.cfg.InternalAddress)
