entry: forget sidecars that are gone, and see those that a peer told

Cause: a heartbeat told the incarnations that are gone without their ages, and the receiver counted each unknown one as a new loss. Two entry instances that forget one at different times so told it to each other again, for ever: the list grew with each replaced sidecar, and after one loss recovery never said not run again. The view that recovery reads was also not made anew when a peer told a loss or when one was forgotten, so that a loss known to a peer only could be missed and a task that may have run be called not run.

Change: heartbeats carry the ages, and the view follows the list. TestGoneIsForgotten fails without either.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -253,11 +253,16 @@
 	for _, l := range c.losses.Due(now, c.sidecars.In(membership.Live)) {
 		c.e.log(lossEvents[l.Scope], "place", l.Place, "members", l.Members)
 	}
+	forgotten := false
 	for p, at := range c.gone {
 		if now-at > c.e.cfg.retention() {
 			delete(c.gone, p)
+			forgotten = true
 		}
 	}
+	if forgotten {
+		c.publish()
+	}
 }
 
 // reload takes a new configuration document.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -165,15 +165,28 @@
 	for _, q := range b.Dead {
 		c.hearDead(now, q)
 	}
-	for _, q := range b.Gone {
-		if c.gone[q] == 0 && c.links[q] == nil {
-			c.gone[q] = now
-		}
-	}
+	c.heardGone(now, b)
 	c.limitsHeard(now, ps, b)
 	c.follow(now)
 }
 
+// heardGone takes the sidecar incarnations that a peer knows as gone, with
+// their ages: without these, two entry instances that drop them at different
+// times would tell each other of them for ever.
+func (c *core) heardGone(now time.Duration, b *wire.PeerBeat) {
+	added := false
+	for i, q := range b.Gone[:min(len(b.Gone), len(b.GoneMs))] {
+		age := time.Duration(b.GoneMs[i]) * time.Millisecond
+		if _, known := c.gone[q]; !known && c.links[q] == nil && age <= c.e.cfg.retention() {
+			c.gone[q] = now - age
+			added = true
+		}
+	}
+	if added {
+		c.publish() // recovery reads the list there
+	}
+}
+
 // hearDead takes a peer's verdict that an entry incarnation is dead. The
 // verdict on this incarnation ends it.
 func (c *core) hearDead(now time.Duration, p ident.Process) {
@@ -248,9 +261,12 @@
 		SidecarsHash: v.refsHash,
 		EntriesHash:  v.entriesHash,
 		Dead:         v.dead,
-		Gone:         v.gone,
 		Draining:     c.draining.Load(),
 	}
+	for p, at := range c.gone {
+		b.Gone = append(b.Gone, p)
+		b.GoneMs = append(b.GoneMs, (now - at).Milliseconds())
+	}
 	b.SidecarsInForce = c.sidecarsInForce(v)
 	ps := c.peers[to]
 	if ps != nil {
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -99,3 +99,37 @@
 		}
 	}
 }
+
+// TestGoneIsForgotten guards against sidecars that stay gone for ever: two
+// entry instances that forgot one at different times told each other of it
+// again as a new loss, so that lists grew and recovery never said "not run". It
+// also guards against a recovery that does not see a loss that a peer told.
+func TestGoneIsForgotten(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	b := s.addEntry("b")
+	p := ident.Process{Instance: "w", Incarnation: 1}
+	retention := a.cfg.retention()
+	for _, c := range []struct {
+		age  time.Duration
+		kept bool
+	}{{time.Second, true}, {retention + time.Second, false}} {
+		var beat wire.PeerBeat
+		b.core.call(func(now time.Duration) {
+			b.core.gone[p] = now - c.age
+			beat = b.core.ownBeat(now, ident.Process{})
+		})
+		a.core.call(func(now time.Duration) {
+			delete(a.core.gone, p)
+			a.core.publish()
+			a.core.peerBeat(now, &beat)
+			at, kept := a.core.gone[p]
+			if got := len(a.core.view.Load().gone) > 0; got != c.kept {
+				t.Errorf("a sidecar gone for %v at a peer is in the view %v", c.age, got)
+			}
+			if kept != c.kept || kept && now-at < c.age {
+				t.Errorf("a sidecar gone for %v at a peer is kept %v, gone for %v", c.age, kept, now-at)
+			}
+		})
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -395,8 +395,10 @@
 	SidecarsInForce uint64 `msgpack:"i,omitempty"`
 	// HaveHash is the hash of the receiver's list that the sender holds.
 	HaveHash uint64 `msgpack:"a,omitempty"`
-	// Gone are sidecar incarnations that are gone.
-	Gone []ident.Process `msgpack:"k,omitempty"`
+	// Gone are sidecar incarnations that are gone, and GoneMs the times since
+	// they were found gone, in milliseconds.
+	Gone   []ident.Process `msgpack:"k,omitempty"`
+	GoneMs []int64         `msgpack:"j,omitempty"`
 	// Entries are the entry instances that the sender knows as live, itself
 	// included, and EntriesHash identifies them; the list is left out if the
 	// HaveEntries last heard from the receiver shows that it holds the same list.
