--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -153,6 +153,18 @@
 		ps.sidecarsInForce = max(ps.sidecarsInForce, b.SidecarsInForce)
 	}
 	c.e.config.NoteKnown(b.Revisions.Known)
+	c.listed(ps, b)
+	for _, q := range b.Dead {
+		c.hearDead(now, q)
+	}
+	c.heardGone(now, b)
+	c.limitsHeard(now, ps, b)
+	c.follow(now)
+}
+
+// listed takes the live entry instances that a peer lists. The list is left
+// out if this process has told that it holds it.
+func (c *core) listed(ps *peerState, b *wire.PeerBeat) {
 	if hashEntries(b.Entries) == b.EntriesHash {
 		ps.entries, ps.entriesHash = make(map[ident.Process]bool, len(b.Entries)), b.EntriesHash
 		for _, q := range b.Entries {
@@ -162,12 +174,6 @@
 	for _, q := range b.Entries {
 		c.hearOf(q)
 	}
-	for _, q := range b.Dead {
-		c.hearDead(now, q)
-	}
-	c.heardGone(now, b)
-	c.limitsHeard(now, ps, b)
-	c.follow(now)
 }
 
 // heardGone takes the sidecar incarnations that a peer knows as gone, with
