--- a/internal/decision/slots/ledger.go
+++ b/internal/decision/slots/ledger.go
@@ -141,3 +141,6 @@
 	}
 	return out
 }
+
+// LedgerSize returns the number of started tasks in the ledger.
+func (m *Machine) LedgerSize() int { return len(m.ledger.tasks) }
--- a/internal/decision/slots/machine.go
+++ b/internal/decision/slots/machine.go
@@ -262,9 +262,6 @@
 // Running returns the number of running tasks.
 func (m *Machine) Running() int { return m.running }
 
-// LedgerSize returns the number of started tasks in the ledger.
-func (m *Machine) LedgerSize() int { return len(m.ledger.tasks) }
-
 // Owns reports whether a task of the owner is running.
 func (m *Machine) Owns(owner ident.Process) bool { return m.owners[owner] > 0 }
 
