--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,14 +20,16 @@
 	revisions wire.Revisions
 	sidecars  []wire.SidecarRef
 	hash      uint64
-	// entries are the incarnations that the peer lists as live.
-	entries map[ident.Process]bool
 	// sidecarsInForce is the lowest revision in force at all of sidecars.
 	sidecarsInForce uint64
-	// have is the hash of this process's sidecar list that the peer holds, and
-	// entriesHash that of the live entry instances that the peer knows.
-	have, entriesHash uint64
-	draining          bool
+	// entries are the incarnations that the peer lists as live, identified by
+	// entriesHash.
+	entries     map[ident.Process]bool
+	entriesHash uint64
+	// haveSidecars and haveEntries are the hashes of this process's lists that
+	// the peer holds.
+	haveSidecars, haveEntries uint64
+	draining                  bool
 	// dead are the entry incarnations that the peer holds dead, and flows its
 	// final limit flows with them.
 	dead  []ident.Process
@@ -69,9 +71,7 @@
 			c.viewEntry(v, m)
 		}
 	}
-	for _, e := range v.entries {
-		v.entriesHash += xxhash.Sum64String(e.Process.String())
-	}
+	v.entriesHash = hashEntries(v.entries)
 	for _, m := range c.sidecars.In(membership.Live) {
 		s := c.links[m.Peer.Process]
 		if s == nil {
@@ -101,6 +101,13 @@
 	}
 }
 
+func hashEntries(entries []wire.Peer) (hash uint64) {
+	for _, e := range entries {
+		hash += xxhash.Sum64String(e.Process.String())
+	}
+	return hash
+}
+
 func hashRefs(refs []wire.SidecarRef) uint64 {
 	h := xxhash.New()
 	for _, r := range refs {
@@ -137,7 +144,7 @@
 		c.publish()
 	}
 	ps.window, ps.revisions, ps.draining = b.Window, b.Revisions, b.Draining
-	ps.have, ps.entriesHash = b.HaveHash, b.EntriesHash
+	ps.haveSidecars, ps.haveEntries = b.HaveHash, b.HaveEntries
 	if b.SidecarsHash != ps.hash && hashRefs(b.Sidecars) == b.SidecarsHash {
 		c.unlist(now, ps.sidecars)
 		ps.sidecars, ps.hash, ps.sidecarsInForce = b.Sidecars, b.SidecarsHash, 0
@@ -150,32 +157,42 @@
 	for _, q := range b.Dead {
 		c.hearDead(now, q)
 	}
-	for _, q := range b.Gone {
-		if c.gone[q] == 0 && c.links[q] == nil {
-			c.gone[q] = now
-		}
-	}
+	c.heardGone(now, b)
 	c.limitsHeard(now, ps, b)
 	c.follow(now)
 }
 
 // listed takes the live entry instances that a peer lists. The list is left
-// out if it is the one that this process sent.
+// out if this process has told that it holds it.
 func (c *core) listed(ps *peerState, b *wire.PeerBeat) {
-	list := b.Entries
-	if v := c.view.Load(); list == nil && b.EntriesHash == v.entriesHash {
-		list = v.entries
-	}
-	if list == nil {
-		return
+	if hashEntries(b.Entries) == b.EntriesHash {
+		ps.entries, ps.entriesHash = make(map[ident.Process]bool, len(b.Entries)), b.EntriesHash
+		for _, q := range b.Entries {
+			ps.entries[q.Process] = true
+		}
 	}
-	ps.entries = make(map[ident.Process]bool, len(list))
-	for _, q := range list {
-		ps.entries[q.Process] = true
+	for _, q := range b.Entries {
 		c.hearOf(q)
 	}
 }
 
+// heardGone takes the sidecar incarnations that a peer knows as gone, with
+// their ages: without these, two entry instances that drop them at different
+// times would tell each other of them for ever.
+func (c *core) heardGone(now time.Duration, b *wire.PeerBeat) {
+	added := false
+	for i, q := range b.Gone[:min(len(b.Gone), len(b.GoneMs))] {
+		age := time.Duration(b.GoneMs[i]) * time.Millisecond
+		if _, known := c.gone[q]; !known && c.links[q] == nil && age <= c.e.cfg.retention() {
+			c.gone[q] = now - age
+			added = true
+		}
+	}
+	if added {
+		c.publish() // recovery reads the list there
+	}
+}
+
 // hearDead takes a peer's verdict that an entry incarnation is dead. The
 // verdict on this incarnation ends it.
 func (c *core) hearDead(now time.Duration, p ident.Process) {
@@ -250,18 +267,21 @@
 		SidecarsHash: v.refsHash,
 		EntriesHash:  v.entriesHash,
 		Dead:         v.dead,
-		Gone:         v.gone,
 		Draining:     c.draining.Load(),
 	}
+	for p, at := range c.gone {
+		b.Gone = append(b.Gone, p)
+		b.GoneMs = append(b.GoneMs, (now - at).Milliseconds())
+	}
 	b.SidecarsInForce = c.sidecarsInForce(v)
 	ps := c.peers[to]
 	if ps != nil {
-		b.HaveHash = ps.hash
+		b.HaveHash, b.HaveEntries = ps.hash, ps.entriesHash
 	}
-	if ps == nil || ps.have != v.refsHash {
+	if ps == nil || ps.haveSidecars != v.refsHash {
 		b.Sidecars = v.refs
 	}
-	if ps == nil || ps.entriesHash != v.entriesHash {
+	if ps == nil || ps.haveEntries != v.entriesHash {
 		b.Entries = v.entries
 	}
 	c.limitsTold(now, to, &b)
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -18,8 +18,8 @@
 		have := false
 		e.core.call(func(now time.Duration) {
 			ps := e.core.peers[p]
-			have = ps != nil && ps.hash == peer.core.view.Load().refsHash && ps.have == e.core.view.Load().refsHash &&
-				ps.entriesHash == e.core.view.Load().entriesHash
+			have = ps != nil && ps.hash == peer.core.view.Load().refsHash && ps.haveSidecars == e.core.view.Load().refsHash &&
+				ps.haveEntries == e.core.view.Load().entriesHash
 			b = e.core.ownBeat(now, p)
 		})
 		if have {
@@ -53,7 +53,7 @@
 		t.Errorf("heartbeat to an unknown peer has %d sidecars and %d entry instances, want 1 and 2", len(fresh.Sidecars), len(fresh.Entries))
 	}
 	a.core.call(func(now time.Duration) {
-		a.core.peers[b.Self().Process].have = 1
+		a.core.peers[b.Self().Process].haveSidecars = 1
 		fresh = a.core.ownBeat(now, b.Self().Process)
 	})
 	if len(fresh.Sidecars) != 1 {
@@ -99,3 +99,37 @@
 		}
 	}
 }
+
+// TestGoneIsForgotten guards against sidecars that stay gone for ever: two
+// entry instances that forgot one at different times told each other of it
+// again as a new loss, so that lists grew and recovery never said "not run". It
+// also guards against a recovery that does not see a loss that a peer told.
+func TestGoneIsForgotten(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	b := s.addEntry("b")
+	p := ident.Process{Instance: "w", Incarnation: 1}
+	retention := a.cfg.retention()
+	for _, c := range []struct {
+		age  time.Duration
+		kept bool
+	}{{time.Second, true}, {retention + time.Second, false}} {
+		var beat wire.PeerBeat
+		b.core.call(func(now time.Duration) {
+			b.core.gone[p] = now - c.age
+			beat = b.core.ownBeat(now, ident.Process{})
+		})
+		a.core.call(func(now time.Duration) {
+			delete(a.core.gone, p)
+			a.core.publish()
+			a.core.peerBeat(now, &beat)
+			at, kept := a.core.gone[p]
+			if got := len(a.core.view.Load().gone) > 0; got != c.kept {
+				t.Errorf("a sidecar gone for %v at a peer is in the view %v", c.age, got)
+			}
+			if kept != c.kept || kept && now-at < c.age {
+				t.Errorf("a sidecar gone for %v at a peer is kept %v, gone for %v", c.age, kept, now-at)
+			}
+		})
+	}
+}
