slots, dispatch: keep the reserve for overloads and tell owed demand

Cause, seen by replaying the generated loads on the real machines: (1) the reserve kept 10 of 80 slots idle in every burst (158 tasks waiting, 70 running), (2) an urgent job waited for up to 200 ms while all slots were taken, because the sidecars learned of its demand only by the next traffic.

Change: a class above its share leaves the reserve free only for a more urgent class seen of late, or after 250 ms of backlog; new demand of classes below their share is told to as many sidecars as tasks wait, plus two.

The replay driver now reports the load of sidecars, as their heartbeats do.

--- a/internal/decision/dispatch/demand.go
+++ b/internal/decision/dispatch/demand.go
@@ -13,6 +13,15 @@
 // have changed.
 const demandGap = 500 * time.Microsecond
 
+const (
+	// tellGap is the least time between two demand messages to a sidecar
+	// without idle credits, about a round trip between zones.
+	tellGap = 5 * time.Millisecond
+	// tellExtra is the number of sidecars told above that of the waiting
+	// tasks; the fastest of them to end a task serve the demand.
+	tellExtra = 2
+)
+
 // Demand returns the waiting work of at most wire.MaxDemand classes, those
 // with the fewest running tasks for their weight. The slice is never changed
 // afterwards.
@@ -65,6 +74,7 @@
 	}
 	for _, p := range m.pools {
 		p.countUntold()
+		m.tellOwed(p)
 	}
 	keep := m.tell[:0]
 	for _, w := range m.tell {
@@ -77,13 +87,44 @@
 			continue
 		}
 		w.pool.untold--
-		w.told, w.granted, w.foreign = true, false, false
+		w.told, w.granted, w.foreign, w.toldAt = true, false, false, m.now
 		m.out = append(m.out, TellDemand{Sidecar: w.proc})
 	}
 	clear(m.tell[len(keep):])
 	m.tell = keep
 }
 
+// tellOwed tells the new demand of classes below their share to sidecars
+// without idle credits, too. They would learn of it with the next traffic only,
+// and grant the slots that end until then to the demand that they know.
+func (m *Machine) tellOwed(p *pool) {
+	if p.untold == 0 && p.owed == 0 {
+		return
+	}
+	before, owed := p.owed, 0
+	p.queue.Each(func(q *fair.Class[*task]) {
+		if p.queue.Below(q) {
+			owed += q.Waiting()
+		}
+	})
+	p.owed = owed
+	n := min(owed-before, p.untold)
+	if n <= 0 {
+		return
+	}
+	n += tellExtra
+	for i := 0; i < len(p.workers) && n > 0; i++ {
+		p.toldLast = (p.toldLast + 1) % len(p.workers)
+		w := p.workers[p.toldLast]
+		if w.leaving || m.now-w.toldAt < tellGap {
+			continue
+		}
+		n--
+		w.told, w.granted, w.toldAt = true, false, m.now
+		m.out = append(m.out, TellDemand{Sidecar: w.proc})
+	}
+}
+
 // countUntold counts the waiting tasks that have come since the last drain of
 // the actions. Sidecars that report idle credits later learn of older ones from
 // the reply to that report.
--- a/internal/decision/dispatch/pool.go
+++ b/internal/decision/dispatch/pool.go
@@ -26,8 +26,11 @@
 	bound   []boundCredit
 	gone    map[jobapi.Size]time.Duration // sizes of workers that left, and when
 	dirty   bool
-	told    int // waiting tasks at the last drain of the actions
-	untold  int // sidecars to tell of newer ones
+	owed    int // waiting tasks of classes below their share, at that time
+	// toldLast is the position of the last worker told of owed demand.
+	toldLast int
+	told     int // waiting tasks at the last drain of the actions
+	untold   int // sidecars to tell of newer ones
 }
 
 // boundCredit is a credit that was granted for a class.
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -33,9 +33,10 @@
 	fenceAt  time.Duration
 	fenceGap time.Duration
 
-	foreign bool // last load showed idle or foreign credits
-	told    bool // of demand since the last load
-	granted bool // since told
+	foreign bool          // last load showed idle or foreign credits
+	told    bool          // of demand since the last load
+	granted bool          // since told
+	toldAt  time.Duration // of the last demand message
 }
 
 // credit is an unspent credit.
@@ -70,7 +71,7 @@
 	m.now = now
 	w := m.workers[a.Sidecar.Process]
 	if w == nil {
-		w = &worker{proc: a.Sidecar.Process, pos: -1}
+		w = &worker{proc: a.Sidecar.Process, pos: -1, toldAt: now - tellGap}
 		m.workers[w.proc] = w
 	}
 	w.zone = a.Sidecar.Zone == m.cfg.Zone
--- a/internal/decision/fair/fair.go
+++ b/internal/decision/fair/fair.go
@@ -156,10 +156,7 @@
 // Pick returns the class whose task is to start next; nil if none waits that
 // is not parked.
 func (q *Queue[T]) Pick() *Class[T] {
-	share := 0.0
-	if q.weights > 0 {
-		share = float64(q.running+q.idle) / q.weights
-	}
+	share := q.perWeight()
 	for _, h := range q.ranks {
 		if len(h.items) > 0 && h.items[0].ratio() < share {
 			return h.items[0]
@@ -171,6 +168,17 @@
 	return nil
 }
 
+// Below reports whether the class runs fewer tasks than its guaranteed share.
+func (q *Queue[T]) Below(c *Class[T]) bool { return c.ratio() < q.perWeight() }
+
+// perWeight returns the slots that are guaranteed to each unit of weight.
+func (q *Queue[T]) perWeight() float64 {
+	if q.weights <= 0 {
+		return 0
+	}
+	return float64(q.running+q.idle) / q.weights
+}
+
 // Take removes the first task of a class, which has waiting tasks, and counts
 // it as running.
 func (q *Queue[T]) Take(c *Class[T]) (*Job[T], Task[T]) {
--- a/internal/decision/slots/choose.go
+++ b/internal/decision/slots/choose.go
@@ -12,6 +12,17 @@
 // shareSlack absorbs rounding errors in the comparison of shares.
 const shareSlack = 1e-9
 
+const (
+	// overloadAfter is how long a class has to have waiting work before it
+	// leaves the reserve free. A large job waits for less time or, if it is
+	// the only work, for as long as the reserve would keep it waiting; a
+	// reserve against every burst cost 12% of the slots whenever work waited.
+	overloadAfter = 250 * time.Millisecond
+	// backlogGap is the longest time without waiting work that does not end a
+	// backlog: summaries of demand come in turns from the entry instances.
+	backlogGap = 50 * time.Millisecond
+)
+
 // Bounds of the values in a demand summary.
 const (
 	maxWeight = 1e12
@@ -30,7 +41,9 @@
 	// waiting is the number of tasks in the demand of all entry instances
 	// for which no credit has been granted yet.
 	waiting int
-	active  time.Duration // last time with demand or a running task
+	// backlogged is the start of the backlog, waited the last time in it.
+	backlogged, waited time.Duration
+	active             time.Duration // last time with demand or a running task
 }
 
 // demand is the waiting work of one class at one entry instance.
@@ -82,6 +95,9 @@
 func (m *Machine) setDemand(now time.Duration, e *entry, summary []wire.Demand) {
 	for i := range e.demand {
 		d := &e.demand[i]
+		if d.left > 0 {
+			d.class.waited = now
+		}
 		d.class.waiting -= d.left
 		d.class.active = now
 	}
@@ -102,6 +118,9 @@
 		cl.cost = float64(min(max(s.RunMs, 1), maxMs))
 		// The summary may have been made before the last grants arrived.
 		left := max(m.part(s)-e.granted(cl), 0)
+		if cl.waiting == 0 && now-cl.waited > backlogGap {
+			cl.backlogged = now
+		}
 		cl.waiting += left
 		e.demand = append(e.demand, demand{class: cl, reported: s.Waiting, left: left,
 			oldest: time.Duration(min(max(s.OldestMs, 0), maxMs)) * time.Millisecond, at: now})
@@ -187,10 +206,26 @@
 	return float64(cl.count+1) <= cl.weight/sum*float64(m.slots)+shareSlack
 }
 
+// topRank returns the highest rank of the classes within their share that have,
+// or had a moment ago, demand or running tasks.
+func (m *Machine) topRank(now time.Duration, sum float64) int {
+	top := math.MinInt
+	for _, cl := range m.list {
+		if cl.rank > top && (cl.count > 0 || cl.waiting > 0 || now-cl.active <= m.cfg.ClassMemory) && m.within(cl, sum) {
+			top = cl.rank
+		}
+	}
+	return top
+}
+
+// overloads reports whether the class has had waiting work for so long that it
+// must be taken for an overload.
+func (cl *class) overloads(now time.Duration) bool { return now-cl.backlogged > overloadAfter }
+
 // choose returns the demand to serve next with one of avail slots, or nil.
 // Classes within their share go first, highest rank first. The others follow
-// in the order of start-time fair queueing, and leave the reserve free unless
-// they hold no slot.
+// in the order of start-time fair queueing. Those that hold a slot leave the
+// reserve free for more urgent classes, and after a while of backlog for all.
 func (m *Machine) choose(now time.Duration, avail int) (*entry, *demand) {
 	if avail <= 0 {
 		return nil, nil
@@ -201,6 +236,7 @@
 		bestIn  bool
 		sum     = m.weights(now)
 		reserve = min(m.reserve, max(m.slots-1, 0))
+		top     = m.topRank(now, sum)
 	)
 	for _, e := range m.order {
 		if !m.serveable(now, e) {
@@ -212,7 +248,7 @@
 				continue
 			}
 			in := m.within(d.class, sum)
-			if !in && d.class.count > 0 && avail <= reserve {
+			if !in && d.class.count > 0 && avail <= reserve && (d.class.overloads(now) || d.class.rank < top) {
 				continue
 			}
 			if best == nil || m.before(now, d, in, best, bestIn) {
@@ -245,6 +281,6 @@
 	m.charge(d.class)
 	d.left--
 	d.class.waiting--
-	d.class.active = now
+	d.class.active, d.class.waited = now, now
 	m.issue(now, e, d.class)
 }
--- a/test/experiment/replay/machines.go
+++ b/test/experiment/replay/machines.go
@@ -21,6 +21,7 @@
 	Detach(now time.Duration, sidecar ident.Process)
 	SetLeaving(now time.Duration, sidecar ident.Process, leaving bool)
 	Grant(now time.Duration, sidecar ident.Process, grants []wire.Grant)
+	SetLoad(now time.Duration, sidecar ident.Process, held, free, foreign int)
 	Recall(now time.Duration, sidecar ident.Process, count int) []wire.Credit
 	DispatchReply(now time.Duration, sidecar ident.Process, starts []wire.Start, codes []wire.RefuseCode)
 	DispatchFailed(now time.Duration, sidecar ident.Process, starts []wire.Start, sent bool)
@@ -59,6 +60,7 @@
 	Returned(now time.Duration, entry ident.Process, credits []wire.Credit)
 	Fence(now time.Duration, entry ident.Process, starts []wire.FencedStart) []wire.LedgerEntry
 	Grants(now time.Duration, entry ident.Process) []wire.Grant
+	Load(entry ident.Process) (held, free, foreign int)
 	Tick(now time.Duration)
 	Actions() []SlotsAction
 }
--- a/test/experiment/replay/replay_test.go
+++ b/test/experiment/replay/replay_test.go
@@ -91,6 +91,7 @@
 func (f *fifo) DispatchReply(time.Duration, ident.Process, []wire.Start, []wire.RefuseCode) {}
 func (f *fifo) Attach(time.Duration, wire.Peer, *wire.Backend)                              {}
 func (f *fifo) SetDocument(time.Duration, *resource.Document)                               {}
+func (f *fifo) SetLoad(time.Duration, ident.Process, int, int, int)                         {}
 func (f *fifo) Tick(time.Duration)                                                          {}
 func (f *fifo) Demand(time.Duration) []wire.Demand                                          { return nil }
 
@@ -142,6 +143,7 @@
 }
 
 func (s *split) Demand(time.Duration, ident.Process, []wire.Demand) {}
+func (s *split) Load(ident.Process) (held, free, foreign int)       { return 0, 0, 0 }
 func (s *split) Tick(time.Duration)                                 {}
 func (s *split) Fence(time.Duration, ident.Process, []wire.FencedStart) []wire.LedgerEntry {
 	return nil
--- a/test/experiment/replay/sidecar.go
+++ b/test/experiment/replay/sidecar.go
@@ -48,10 +48,14 @@
 	}
 	self := s.peer.Process
 	grants := s.machine.Grants(v.now, a.Entry)
+	held, free, foreign := s.machine.Load(a.Entry)
 	v.send(e, s, func() {
 		if e.machine == nil || e.peer.Process != a.Entry {
 			return
 		}
+		if a.Recall == 0 {
+			e.machine.SetLoad(v.now, self, held, free, foreign)
+		}
 		e.machine.Grant(v.now, self, grants)
 		var back []wire.Credit
 		if a.Recall > 0 {
