health: suspect a worker that only fails, and eject it on fewer results

Change: a worker is suspect after one failure if it has never completed a task, else after three in a row. It ranks as failing and gets one task at a time. It is ejected once 5 results of the same kinds on other workers are known and at most 5% of them are failures, judged again at each result of others. The rule of 5 of 20 results is unchanged.

--- a/internal/decision/dispatch/pool.go
+++ b/internal/decision/dispatch/pool.go
@@ -20,13 +20,15 @@
 	queue   *fair.Queue[*task]
 	fleet   *health.Fleet
 	workers []*worker
-	ready   ready // workers with usable credits
-	slots   int
-	idle    int // credits of the workers in ready
-	bound   []boundCredit
-	gone    map[jobapi.Size]time.Duration // sizes of workers that left, and when
-	dirty   bool
-	owed    int // waiting tasks of classes below their share, at that time
+	// suspects are the workers that may have to be ejected.
+	suspects []*worker
+	ready    ready // workers with usable credits
+	slots    int
+	idle     int // credits of the workers in ready
+	bound    []boundCredit
+	gone     map[jobapi.Size]time.Duration // sizes of workers that left, and when
+	dirty    bool
+	owed     int // waiting tasks of classes below their share, at that time
 	// toldLast is the position of the last worker told of owed demand.
 	toldLast int
 	told     int // waiting tasks at the last drain of the actions
--- a/internal/decision/dispatch/result.go
+++ b/internal/decision/dispatch/result.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/fair"
@@ -69,6 +70,34 @@
 		change = w.health.Failed(m.now, kind)
 	}
 	m.refresh(w)
+	m.judged(w, change)
+	if ok {
+		m.reconsider(w.pool)
+	}
+}
+
+// reconsider judges the suspect workers again by the results of the others.
+func (m *Machine) reconsider(p *pool) {
+	for _, w := range p.suspects {
+		if w.pool != p {
+			continue
+		}
+		change := w.health.Consider(m.now)
+		m.refresh(w)
+		m.judged(w, change)
+	}
+}
+
+// judged reports a change of a worker and keeps the list of suspect workers.
+func (m *Machine) judged(w *worker, change health.Change) {
+	p := w.pool
+	at := slices.Index(p.suspects, w)
+	switch suspect := w.health.Suspect(); {
+	case suspect && at < 0:
+		p.suspects = append(p.suspects, w)
+	case !suspect && at >= 0:
+		p.suspects = slices.Delete(slices.Clone(p.suspects), at, at+1)
+	}
 	switch change {
 	case health.Ejected:
 		until, _ := w.health.Until()
@@ -143,6 +172,9 @@
 		m.refresh(w)
 	}
 	t.probe = false
+	if w.health != nil && w.health.Suspect() {
+		m.refresh(w)
+	}
 	t.job.inFlight--
 	c.pool.queue.Ended(c.queue)
 	if m.cfg.Limiter != nil {
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/health"
@@ -108,6 +109,7 @@
 			break
 		}
 	}
+	p.suspects = slices.DeleteFunc(slices.Clone(p.suspects), func(o *worker) bool { return o == w })
 	p.slots -= w.backend.Slots
 	p.gone[w.backend.Size] = m.now
 	w.health.Leave()
@@ -129,6 +131,9 @@
 	if w.rank == health.RankProbe {
 		usable = min(usable, 1)
 	}
+	if w.health != nil && w.health.Suspect() {
+		usable = max(min(usable, 1-len(w.inflight)), 0)
+	}
 	if usable > w.usable {
 		m.touch(p)
 	}
--- a/internal/decision/health/health.go
+++ b/internal/decision/health/health.go
@@ -17,6 +17,15 @@
 	minResults = 5
 	// ejectShare is the share of failures above which a worker is ejected.
 	ejectShare = 0.5
+	// provenStreak failures in a row make a worker suspect that has completed
+	// a task before; one that never has is suspect after one. A worker that
+	// fails at once would get a task of many jobs before minResults are known.
+	provenStreak = 3
+	// streakResults is the number of results of a kind on other workers that
+	// are needed to eject a suspect worker, and streakShare the share of
+	// failures among them up to which it is ejected.
+	streakResults = 5
+	streakShare   = 0.05
 	// firstBackoff and maxBackoff bound the time between probes.
 	firstBackoff = 5 * time.Second
 	maxBackoff   = 60 * time.Second
@@ -82,6 +91,8 @@
 	ring    [window]outcome
 	total   int
 	failed  int
+	streak  int  // failures since the last completed task
+	proven  bool // has completed a task
 	speed   estimate.Speed
 	ejected bool
 	until   time.Duration // no probe before
@@ -135,6 +146,7 @@
 // fleet's median for the kind.
 func (w *Worker) Completed(now time.Duration, kind string, ratio float64) Change {
 	w.speed.Observe(ratio)
+	w.streak, w.proven = 0, true
 	if w.ejected {
 		return w.probed(now, true)
 	}
@@ -147,14 +159,53 @@
 	if w.ejected {
 		return w.probed(now, false)
 	}
+	w.streak++
 	w.record(kind, true)
-	if !w.excessive() || !w.fleet.allows() {
+	return w.consider(now)
+}
+
+// consider ejects the worker if its failures and those of the others tell so.
+// Call it again for a suspect worker when others have had results.
+func (w *Worker) consider(now time.Duration) Change {
+	if w.ejected || !w.excessive() && !(w.suspect() && w.alone()) || !w.fleet.allows() {
 		return Unchanged
 	}
 	w.eject(now)
 	return Ejected
 }
 
+// Consider ejects a suspect worker once enough results of others are known.
+func (w *Worker) Consider(now time.Duration) Change {
+	if !w.suspect() {
+		return Unchanged
+	}
+	return w.consider(now)
+}
+
+// Suspect reports whether the worker should get one task at a time.
+func (w *Worker) Suspect() bool { return !w.ejected && w.suspect() }
+
+func (w *Worker) suspect() bool {
+	return w.streak >= provenStreak || w.streak > 0 && !w.proven
+}
+
+// alone reports whether the kinds that the worker failed last hardly ever fail
+// on the others.
+func (w *Worker) alone() bool {
+	results, failed := 0, 0
+	seen := map[*tally]bool{}
+	for n := 1; n <= min(w.streak, window, w.total); n++ {
+		t := w.ring[(w.total-n)%window].kind
+		if t == nil || seen[t] {
+			continue
+		}
+		seen[t] = true
+		r, f := w.others(t)
+		results, failed = results+r, failed+f
+	}
+	return results >= streakResults && float64(failed) <= streakShare*float64(results)
+}
+
 // Unproven says that a probe ended without telling anything of the worker.
 func (w *Worker) Unproven() { w.probing = false }
 
--- a/internal/decision/health/probe.go
+++ b/internal/decision/health/probe.go
@@ -31,6 +31,7 @@
 		return Unchanged
 	}
 	w.ejected = false
+	w.streak = 0
 	w.readmit = now
 	w.fleet.ejected--
 	return Readmitted
@@ -56,6 +57,8 @@
 		return RankProbe
 	case w.ejected:
 		return RankEjected
+	case w.suspect():
+		return RankFailing
 	case w.speed.Ratio() > stragglerRatio:
 		return RankStraggler
 	case w.failed >= 2 && w.share() > ejectShare/2:
--- a/test/experiment/runs/steady.go
+++ b/test/experiment/runs/steady.go
@@ -57,6 +57,7 @@
 		r.rep.Figure(pre+"simulatedBaselineRatio"+q.name, report.QuantileRatio(jobRatios(base, ideal), q.q))
 		r.rep.Figure(pre+"ratio"+q.name, report.QuantileRatio(jobRatios(real, best), q.q))
 		r.rep.Target(pre+"ratio"+q.name, report.AtMost, q.bound)
+		r.rep.Figure(pre+"quantileRatio"+q.name, ratio(report.Quantile(real, q.q), report.Quantile(best, q.q)))
 	}
 }
 
