--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/health"
@@ -33,9 +34,10 @@
 	fenceAt  time.Duration
 	fenceGap time.Duration
 
-	foreign bool // last load showed idle or foreign credits
-	told    bool // of demand since the last load
-	granted bool // since told
+	foreign bool          // last load showed idle or foreign credits
+	told    bool          // of demand since the last load
+	granted bool          // since told
+	toldAt  time.Duration // of the last demand message
 }
 
 // credit is an unspent credit.
@@ -70,7 +72,7 @@
 	m.now = now
 	w := m.workers[a.Sidecar.Process]
 	if w == nil {
-		w = &worker{proc: a.Sidecar.Process, pos: -1}
+		w = &worker{proc: a.Sidecar.Process, pos: -1, toldAt: now - tellGap}
 		m.workers[w.proc] = w
 	}
 	w.zone = a.Sidecar.Zone == m.cfg.Zone
@@ -107,6 +109,7 @@
 			break
 		}
 	}
+	p.suspects = slices.DeleteFunc(slices.Clone(p.suspects), func(o *worker) bool { return o == w })
 	p.slots -= w.backend.Slots
 	p.gone[w.backend.Size] = m.now
 	w.health.Leave()
@@ -128,6 +131,9 @@
 	if w.rank == health.RankProbe {
 		usable = min(usable, 1)
 	}
+	if w.health != nil && w.health.Suspect() {
+		usable = max(min(usable, 1-len(w.inflight)), 0)
+	}
 	if usable > w.usable {
 		m.touch(p)
 	}
