test: give each test program a loopback address of its own

Ruled out: a fault of the entry instance, which serves that path on its caller port only. Change: one package hands out ports, on a loopback address that depends on the process; it replaces three copies. The report of an experiment is guarded by a lock: two goroutines of store-outage set figures (race detector).

--- a/cmd/proc_test.go
+++ b/cmd/proc_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cardamomturn/cardamomturn/test/loopback"
 )
 
 const (
@@ -109,24 +108,12 @@
 	return strings.Join(lines[max(0, len(lines)-6):], "\n")
 }
 
-// freePorts returns loopback addresses with free ports below the range from
-// which the system takes the ports of outgoing connections, which could else
-// take one before it is listened on.
+// freePorts returns loopback addresses with free ports.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	const low, high = 12000, 32000
-	addresses := make([]string, 0, n)
-	for tries := 0; len(addresses) < n; tries++ {
-		if tries > 100*n {
-			t.Fatal("no free ports")
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", low+rand.IntN(high-low)))
-		if err != nil {
-			continue
-		}
-		// All are kept open until the last is found, so that none occurs twice.
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
+	addresses, err := loopback.Addresses(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return addresses
 }
--- a/test/experiment/live/corerate.go
+++ b/test/experiment/live/corerate.go
@@ -107,7 +107,7 @@
 // startStore serves a store of its own, so that the entry instance knows no
 // other one.
 func (r *rater) startStore(doc *resource.Document) error {
-	lis, err := net.Listen("tcp", loopback)
+	lis, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return errors.Annotate(err, "listen for the store")
 	}
@@ -125,8 +125,8 @@
 
 func (r *rater) startWorker(i int) error {
 	s, err := node.NewSidecar(sidecar.Config{
-		Instance: "rated-" + cluster.Name(cluster.Sidecar, i), Zone: "zone-1", Rack: "rack-1", LocalAddress: loopback,
-		InternalAddress: loopback, OperatorAddress: loopback, EntryAddresses: []string{r.settings.InternalAddress},
+		Instance: "rated-" + cluster.Name(cluster.Sidecar, i), Zone: "zone-1", Rack: "rack-1", LocalAddress: anyPort,
+		InternalAddress: anyPort, OperatorAddress: anyPort, EntryAddresses: []string{r.settings.InternalAddress},
 	}, nil)
 	if err != nil {
 		return errors.Annotate(err, "start a sidecar")
--- a/test/experiment/live/live.go
+++ b/test/experiment/live/live.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	loopback  = "127.0.0.1:0"
+	anyPort   = "127.0.0.1:0"
 	storeWait = 10 * time.Second
 	// readyTimeout bounds the start of a cluster.
 	readyTimeout = 20 * time.Second
@@ -91,7 +91,7 @@
 
 // startStore serves the store and writes the document.
 func (c *Cluster) startStore() error {
-	lis, err := net.Listen("tcp", loopback)
+	lis, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return errors.Annotate(err, "listen for the store")
 	}
--- a/test/experiment/report/report.go
+++ b/test/experiment/report/report.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -45,6 +46,8 @@
 	Figures    map[string]float64  `json:"figures"`
 	Targets    []Target            `json:"targets"`
 	Violations []history.Violation `json:"violations"`
+
+	mu sync.Mutex // guards Figures during a run
 }
 
 // New returns an empty report.
@@ -59,6 +62,8 @@
 // Figure sets a figure. A value that is not a number is left out, so that a
 // target on it is not met.
 func (r *Report) Figure(name string, value float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !math.IsNaN(value) && !math.IsInf(value, 0) {
 		r.Figures[name] = value
 	}
--- a/test/experiment/slopes/fleet.go
+++ b/test/experiment/slopes/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/test/experiment/cluster"
 	"github.com/cardamomturn/cardamomturn/test/experiment/history"
+	"github.com/cardamomturn/cardamomturn/test/loopback"
 )
 
 const (
@@ -101,7 +102,7 @@
 func zone(i int) string { return fmt.Sprintf("zone-%d", i%zones) }
 
 func (f *fleet) addEntry() (*entryProcess, error) {
-	addrs, err := freeAddresses(3)
+	addrs, err := loopback.Addresses(3)
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +127,7 @@
 }
 
 func (f *fleet) addSidecar(withBackend bool) (*sidecarProcess, error) {
-	addrs, err := freeAddresses(3)
+	addrs, err := loopback.Addresses(3)
 	if err != nil {
 		return nil, err
 	}
--- a/test/experiment/slopes/process.go
+++ b/test/experiment/slopes/process.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -140,37 +139,6 @@
 	return errors.Annotatef(json.Unmarshal(body, into), "%s at %s", path, p.operator)
 }
 
-// Ports of the processes. They are below the range from which the operating
-// system takes the ports of outgoing connections, so that none of these takes
-// a port between the choice and the start of a process.
-const (
-	firstPort = 12_000
-	portCount = 18_000
-)
-
-// nextPort is the offset of the next port to try; runs at the same time begin
-// at different ones.
-var nextPort = os.Getpid() * 613
-
-// freeAddresses returns loopback addresses for processes that start later.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		nextPort++
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+nextPort%portCount))
-		lis, err := net.Listen("tcp", addr)
-		if err != nil {
-			if tries == portCount {
-				return nil, errors.Annotate(err, "find a free port")
-			}
-			continue
-		}
-		lis.Close()
-		out = append(out, addr)
-	}
-	return out, nil
-}
-
 // buildDaemon compiles cardamomturnd into dir.
 func buildDaemon(dir string) (string, error) {
 	binary := filepath.Join(dir, "cardamomturnd")
