--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -194,15 +194,6 @@
 	}
 }
 
-// pause returns the time to the next tick if no input comes before. An input
-// causes a tick as soon as one is due.
-func (c *core) pause(now time.Duration) time.Duration {
-	if c.machine.Unanswered() > 0 {
-		return c.dueTick - now
-	}
-	return c.dueTick - now + idleInterval - tickInterval
-}
-
 // more handles further waiting inputs, up to a batch.
 func (c *core) more(now time.Duration) {
 	for range coreBatch {
@@ -215,43 +206,6 @@
 	}
 }
 
-// wake notices a pause of the process. An incarnation that was paused for
-// longer than its lease may have been declared dead, so it ends.
-func (c *core) wake() time.Duration {
-	now := c.now()
-	if gap := now - c.last; c.last > 0 && gap > c.e.cfg.SelfLease {
-		c.e.log(event.EntryLoopGap, "gap", gap)
-		c.restart(now)
-	}
-	c.last = now
-	return now
-}
-
-// restart ends the incarnation: its jobs are answered with what is known,
-// and a new incarnation begins.
-func (c *core) restart(now time.Duration) {
-	old := *c.self.Load()
-	c.machine.Abandon(now)
-	c.flush(now)
-	c.retire(old)
-	c.noteSidecars(old, c.linked())
-	for p := range c.links {
-		c.dropSidecar(p)
-	}
-	c.begin(now)
-	c.e.log(event.EntryRestarted, "old", old.String(), "new", c.self.Load().String())
-}
-
-func (c *core) retire(p ident.Process) {
-	if len(c.retired) >= retiredMachines {
-		for q := range c.retired {
-			delete(c.retired, q)
-			break
-		}
-	}
-	c.retired[p] = c.machine
-}
-
 func (c *core) tick(now time.Duration) {
 	if w := uint64(now / c.e.cfg.Window); w != c.window.Load() {
 		c.window.Store(w)
@@ -305,87 +259,3 @@
 	}
 	return min(c.document.Revision, c.allocation.Revision)
 }
-
-// checkLease suspends dispatching while fewer than half of the attached
-// sidecars have acknowledged this incarnation within the lease.
-func (c *core) checkLease(now time.Duration) {
-	fresh := 0
-	for _, s := range c.links {
-		if s.acked >= 0 && now-s.acked <= c.e.cfg.SelfLease {
-			fresh++
-		}
-	}
-	suspend := len(c.links) > 0 && 2*fresh < len(c.links)
-	if suspend != c.suspended {
-		c.suspended = suspend
-		c.machine.Suspend(now, suspend)
-		if suspend {
-			c.e.log(event.EntrySelfLeaseLost, "fresh", fresh, "attached", len(c.links))
-		} else {
-			c.e.log(event.EntrySelfLeaseRegained, "fresh", fresh, "attached", len(c.links))
-		}
-	}
-}
-
-// flush carries out the machine's actions and publishes the demand.
-func (c *core) flush(now time.Duration) {
-	if c.ledger.Changed() {
-		c.machine.Wake(now)
-	}
-	for {
-		actions := c.machine.Actions()
-		d := c.machine.Demand(now)
-		c.demand.Store(&d)
-		if len(actions) == 0 {
-			break
-		}
-		for _, a := range actions {
-			c.carryOut(now, a)
-		}
-	}
-	c.moveShares(now)
-}
-
-func (c *core) carryOut(now time.Duration, a dispatch.Action) {
-	switch a := a.(type) {
-	case dispatch.Dispatch:
-		if s := c.links[a.Sidecar]; s != nil {
-			s.link.dispatch(a.Starts)
-		} else {
-			c.machine.DispatchFailed(now, a.Sidecar, a.Starts, false)
-		}
-	case dispatch.Fence:
-		if s := c.links[a.Sidecar]; s != nil {
-			s.link.fence(a.Starts)
-		} else {
-			c.machine.FenceReply(now, a.Sidecar, a.Starts, wire.FenceReply{Gone: true})
-		}
-	case dispatch.Answered:
-		c.answered(a)
-	case dispatch.TellDemand:
-		if s := c.links[a.Sidecar]; s != nil {
-			s.link.tell()
-		}
-	case dispatch.ReturnCredits:
-		if s := c.links[a.Sidecar]; s != nil {
-			s.link.giveBack(a.Credits)
-		}
-	case dispatch.Notice:
-		c.notice(now, a)
-	}
-}
-
-func (c *core) answered(a dispatch.Answered) {
-	for _, w := range c.waiters[a.ID] {
-		w <- a.Answer
-	}
-	delete(c.waiters, a.ID)
-	c.e.observeJob(a)
-}
-
-func (c *core) demandNow() []wire.Demand {
-	if d := c.demand.Load(); d != nil {
-		return *d
-	}
-	return nil
-}
