entry: bound invented owners; look at the fleet's revisions less often

The status looked at all processes every 50 ms, which an idle instance paid for. Change: at most 64 dead incarnations from such questions (TestInventedOwners); the status looks every 200 ms.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -355,6 +355,21 @@
 	}
 }
 
+// TestInventedOwners guards against invented submission IDs that make the
+// instance fence ever more incarnations at the sidecars.
+func TestInventedOwners(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	s.addWorker("w1", a)
+	awaitPeers(t, a)
+	for n := range uint64(2 * maxDead) {
+		a.ownerOf(ident.Process{Instance: "a", Incarnation: n + 1})
+	}
+	if n := len(a.core.view.Load().dead); n > maxDead {
+		t.Fatalf("%d dead incarnations from invented IDs", n)
+	}
+}
+
 // TestDeadSidecar guards against a job waiting for its deadline after the
 // sidecar that ran its task has ended.
 func TestDeadSidecar(t *testing.T) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// maxDead bounds the dead incarnations that questions about unknown ones of
+// this instance's own name may add: each is fenced at every sidecar, so
+// invented IDs would cost the fleet many calls.
+const maxDead = 64
+
 type ownerState uint8
 
 const (
@@ -73,6 +78,9 @@
 		}
 	}
 	m, known := v.known[p]
+	if p.Instance == e.cfg.Instance && len(v.dead) >= maxDead {
+		return nil, ownerUnknown
+	}
 	if p.Instance == e.cfg.Instance {
 		// An earlier process under this instance's own name.
 		e.core.call(func(now time.Duration) { e.core.killEntry(now, p) })
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -12,7 +12,7 @@
 
 const (
 	// statusInterval is the time between two looks at the revisions in force.
-	statusInterval = 50 * time.Millisecond
+	statusInterval = 200 * time.Millisecond
 	// reachedRevisions is the number of remembered revisions.
 	reachedRevisions = 1024
 )
