rpcnet: never report a sent call as not sent

Cause: found by reading. net/rpc ends pending calls with ErrShutdown if the connection reaches its end while it is being closed, and with the decoder's error after a malformed answer. Change: the codec notes for each call whether its first byte may have been sent, and only a call without it counts as not sent. TestSentCall fails for both cases with the old classification.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/listen"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
@@ -51,8 +52,7 @@
 	}
 	e := &Entry{cfg: cfg, deps: deps, config: deps.Configuration, start: time.Now(), rpc: rpcnet.NewServer()}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	if err := e.listen(); err != nil {
-		e.closeListeners()
+	if err := listen.Open(e.ports()...); err != nil {
 		return nil, err
 	}
 	e.core = newCore(e)
@@ -63,27 +63,23 @@
 		e.closeListeners()
 		return nil, err
 	}
-	e.caller = &fasthttp.Server{
-		Handler:               e.callerHandler(),
-		MaxRequestBodySize:    cfg.MaxBody,
-		ReadTimeout:           cfg.ReadTimeout,
-		IdleTimeout:           idleTimeout,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		ErrorHandler:          e.requestError,
-		Logger:                silent{},
-	}
-	e.oper = &fasthttp.Server{
-		Handler:               e.operatorHandler(),
-		MaxRequestBodySize:    cfg.MaxBody,
-		ReadTimeout:           cfg.ReadTimeout,
+	e.caller = e.newServer(e.callerHandler())
+	e.oper = e.newServer(e.operatorHandler())
+	return e, nil
+}
+
+// newServer returns an HTTP server with the bounds of the settings.
+func (e *Entry) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               h,
+		MaxRequestBodySize:    e.cfg.MaxBody,
+		ReadTimeout:           e.cfg.ReadTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		ErrorHandler:          e.requestError,
 		Logger:                silent{},
 	}
-	return e, nil
 }
 
 // idleTimeout is the life of an idle connection. It is longer than that of
@@ -97,31 +93,16 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
-func (e *Entry) listen() error {
-	for _, l := range []struct {
-		name, addr string
-		to         *net.Listener
-	}{
-		{"caller", e.cfg.CallerAddress, &e.callerLis},
-		{"operator", e.cfg.OperatorAddress, &e.operLis},
-		{"internal", e.cfg.InternalAddress, &e.rpcLis},
-	} {
-		lis, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return errors.Annotatef(err, "listen on %s address %s", l.name, l.addr)
-		}
-		*l.to = lis
+// ports are the ports of the instance.
+func (e *Entry) ports() []listen.Port {
+	return []listen.Port{
+		{Name: "caller", Address: e.cfg.CallerAddress, Listener: &e.callerLis},
+		{Name: "operator", Address: e.cfg.OperatorAddress, Listener: &e.operLis},
+		{Name: "internal", Address: e.cfg.InternalAddress, Listener: &e.rpcLis},
 	}
-	return nil
 }
 
-func (e *Entry) closeListeners() {
-	for _, l := range []net.Listener{e.callerLis, e.operLis, e.rpcLis} {
-		if l != nil {
-			l.Close()
-		}
-	}
-}
+func (e *Entry) closeListeners() { listen.Close(e.ports()...) }
 
 // Close closes the ports of an instance that was not run.
 func (e *Entry) Close() { e.closeListeners() }
--- a/internal/rpcnet/client.go
+++ b/internal/rpcnet/client.go
@@ -94,7 +94,8 @@
 	if err != nil {
 		return &Error{Step: "dial", Peer: c.addr, Kind: ErrNotSent, Err: err}
 	}
-	call := cl.Go(method, args, reply, make(chan *rpc.Call, 1))
+	out := &outgoing{body: args}
+	call := cl.Go(method, out, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -107,15 +108,15 @@
 	if errors.As(call.Error, &remote) {
 		return &Error{Step: method, Peer: c.addr, Err: call.Error}
 	}
-	if errors.Is(call.Error, ErrFrame) {
-		// The frame was too large to send; the connection is intact.
-		return &Error{Step: method, Peer: c.addr, Kind: ErrNotSent, Err: call.Error}
+	kind := ErrLost
+	if !out.written.Load() {
+		kind = ErrNotSent
 	}
-	c.drop(cl)
-	if errors.Is(call.Error, rpc.ErrShutdown) {
-		return &Error{Step: method, Peer: c.addr, Kind: ErrNotSent, Err: call.Error}
+	// A frame that was too large to send leaves the connection intact.
+	if kind == ErrLost || !errors.Is(call.Error, ErrFrame) {
+		c.drop(cl)
 	}
-	return &Error{Step: method, Peer: c.addr, Kind: ErrLost, Err: call.Error}
+	return &Error{Step: method, Peer: c.addr, Kind: kind, Err: call.Error}
 }
 
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -100,7 +101,8 @@
 }
 
 // write sends one frame. An oversized frame is an error and sends nothing.
-func (f *framer) write(header, body any) error {
+// written, if not nil, is set before the first byte may be sent.
+func (f *framer) write(header, body any, written *atomic.Bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.out.Cap() > keepBytes {
@@ -121,6 +123,9 @@
 	}
 	binary.BigEndian.PutUint32(f.out.Bytes(), uint32(n))
 	traffic.sentFrames.Add(1)
+	if written != nil {
+		written.Store(true)
+	}
 	_, err := f.conn.Write(f.out.Bytes())
 	return err
 }
@@ -161,10 +166,10 @@
 // error, so that the caller does not wait for ever.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	h := responseHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}
-	err := c.write(h, body)
+	err := c.write(h, body, nil)
 	if errors.Is(err, ErrFrame) {
 		h.Error = err.Error()
-		return c.write(h, struct{}{})
+		return c.write(h, struct{}{}, nil)
 	}
 	return err
 }
@@ -177,8 +182,17 @@
 	onLost func()
 }
 
+// outgoing is the body of a request that notes whether the request may have
+// been sent. net/rpc itself reports a call that was sent like one that was not
+// if its connection ends while it is being closed.
+type outgoing struct {
+	body    any
+	written atomic.Bool
+}
+
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
+	o := body.(*outgoing)
+	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, o.body, &o.written)
 }
 
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
--- a/internal/rpcnet/rpcnet_test.go
+++ b/internal/rpcnet/rpcnet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -105,6 +106,45 @@
 	}
 }
 
+// heldConn accepts data and delivers answer when told, even after Close, as
+// when the peer's last data and the own close coincide.
+type heldConn struct {
+	net.Conn
+	answer  io.Reader
+	written chan struct{}
+	end     chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	c.written <- struct{}{}
+	return len(p), nil
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	<-c.end
+	return c.answer.Read(p)
+}
+
+func (c *heldConn) Close() error { return nil }
+
+// TestSentCall guards against a call that was sent being reported as not sent,
+// after which its caller would send it again elsewhere: at the end of a
+// connection that is being closed, and after a malformed answer.
+func TestSentCall(t *testing.T) {
+	for _, answer := range []string{"", "\xff\xff\xff\xff"} {
+		conn := &heldConn{answer: strings.NewReader(answer), written: make(chan struct{}, 1), end: make(chan struct{})}
+		c := NewClientWith("peer", func(context.Context, string) (net.Conn, error) { return conn, nil })
+		result := make(chan error, 1)
+		go func() { result <- c.Call(context.Background(), "Echo.Say", &Text{}, &Text{}) }()
+		<-conn.written
+		c.Close()
+		close(conn.end)
+		if err := <-result; errors.Is(err, ErrNotSent) || !errors.Is(err, ErrLost) {
+			t.Fatalf("answer %q: %v", answer, err)
+		}
+	}
+}
+
 // TestOnLost guards against the end of a peer staying unnoticed until the next
 // call, and against the client's own Close being reported as a loss.
 func TestOnLost(t *testing.T) {
@@ -162,7 +202,7 @@
 		a, b := net.Pipe()
 		defer a.Close()
 		defer b.Close()
-		go newFramer(a).write(requestHeader{Method: "m", Seq: 1}, in)
+		go newFramer(a).write(requestHeader{Method: "m", Seq: 1}, in, nil)
 		f := newFramer(b)
 		var h requestHeader
 		if err := f.next(&h); err != nil || h.Method != "m" || h.Seq != 1 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
+	"github.com/cardamomturn/cardamomturn/internal/listen"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -85,8 +86,7 @@
 		outboxes: map[ident.Process]*outbox{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
-	if err := s.listen(); err != nil {
-		s.closeListeners()
+	if err := listen.Open(s.ports()...); err != nil {
 		return nil, err
 	}
 	address := cfg.AdvertiseAddress
@@ -102,31 +102,16 @@
 	return s, nil
 }
 
-func (s *Sidecar) listen() error {
-	for _, l := range []struct {
-		step, addr string
-		lis        *net.Listener
-	}{
-		{"local", s.cfg.LocalAddress, &s.local},
-		{"internal", s.cfg.InternalAddress, &s.internal},
-		{"operator", s.cfg.OperatorAddress, &s.operator},
-	} {
-		lis, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return errors.Annotatef(err, "listen on the %s address %s", l.step, l.addr)
-		}
-		*l.lis = lis
+// ports are the ports of the sidecar.
+func (s *Sidecar) ports() []listen.Port {
+	return []listen.Port{
+		{Name: "local", Address: s.cfg.LocalAddress, Listener: &s.local},
+		{Name: "internal", Address: s.cfg.InternalAddress, Listener: &s.internal},
+		{Name: "operator", Address: s.cfg.OperatorAddress, Listener: &s.operator},
 	}
-	return nil
 }
 
-func (s *Sidecar) closeListeners() {
-	for _, lis := range []net.Listener{s.local, s.internal, s.operator} {
-		if lis != nil {
-			lis.Close()
-		}
-	}
-}
+func (s *Sidecar) closeListeners() { listen.Close(s.ports()...) }
 
 // Process returns the sidecar incarnation.
 func (s *Sidecar) Process() ident.Process { return s.self.Process }
