--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -13,6 +13,10 @@
 	"github.com/cardamomturn/cardamomturn/internal/store/httpstore"
 )
 
+// drainLinger is how long a drained entry instance goes on refusing requests:
+// two health checks of a load balancer that checks every half second.
+const drainLinger = time.Second
+
 // joinMargin is added to the bounds after which a sidecar grants credits to an
 // entry instance that no other entry instance can vouch for.
 const joinMargin = time.Second
@@ -57,13 +61,16 @@
 	cfg.MaxBody = s.RequestBytes
 	cfg.AcceptWindows, cfg.RetainWindows = uint64(s.AcceptWindows), uint64(s.RetainWindows)
 	cfg.AnswerBytes = s.AnswerBytes
+	cfg.Linger = min(drainLinger, cfg.DrainTimeout/4)
 	return cfg
 }
 
 func timing(t settings.Timing) entry.Config {
 	return entry.Config{
 		CreditTTL: t.CreditTTL.Std(), BeatInterval: t.BeatInterval.Std(), SelfLease: t.SelfLease.Std(),
-		SilentAfter: t.DeadAfter.Std(), Window: t.Window.Std(), DrainTimeout: t.ShutdownTimeout.Std(),
+		SilentAfter: t.DeadAfter.Std(), Window: t.Window.Std(),
+		// The rest of the bound is for the end of the process itself.
+		DrainTimeout: t.ShutdownTimeout.Std() * 9 / 10,
 	}
 }
 
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -52,6 +52,11 @@
 	ReadTimeout time.Duration
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
+	// Linger is how long a draining instance without jobs goes on refusing
+	// requests before it closes its ports, so that a load balancer sees its
+	// health check fail first. A request on a connection that is not accepted
+	// yet when the port closes is cut.
+	Linger time.Duration
 	// Dial opens the connections to other processes; nil selects TCP.
 	Dial rpcnet.DialFunc
 	// Seed of the random source; zero selects a random one.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -175,6 +175,7 @@
 	for e.unanswered() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPoll)
 	}
+	time.Sleep(min(e.cfg.Linger, time.Until(end)))
 	idle := e.unanswered() == 0
 	if !idle {
 		e.log(event.EntryDrainTimeout, "instance", e.cfg.Instance)
