slots, dispatch: keep unused credits of the reserve for entitled work

Cause: a job of a class below its share is told to as many sidecars as it has tasks, plus two; each grants a credit, and those that came too late were spent on the overload, which emptied the reserve for the length of a task.

--- a/internal/decision/dispatch/credit.go
+++ b/internal/decision/dispatch/credit.go
@@ -23,9 +23,10 @@
 			continue
 		}
 		w.void(g.Credit.Slot())
-		w.credits = append(w.credits, credit{number: g.Credit, at: now})
-		if g.Class != (wire.Class{}) {
-			w.pool.bound = append(w.pool.bound, boundCredit{worker: w, credit: g.Credit, class: g.Class})
+		w.credits = append(w.credits, credit{number: g.Credit, at: now, reserved: g.Reserved})
+		if g.Class != (wire.Class{}) || g.Reserved {
+			w.pool.bound = append(w.pool.bound, boundCredit{worker: w, credit: g.Credit, class: g.Class, reserved: g.Reserved, at: now})
+			m.touch(w.pool)
 		}
 	}
 	m.refresh(w)
--- a/internal/decision/dispatch/place.go
+++ b/internal/decision/dispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/fair"
 	"github.com/cardamomturn/cardamomturn/internal/decision/health"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
@@ -42,21 +43,66 @@
 	m.dirty = m.dirty[:0]
 }
 
+// reserveHold is how long an unused credit of the reserve waits for work of a
+// class below its share before it is given back.
+const reserveHold = 50 * time.Millisecond
+
 // placeBound spends the credits that were granted for a class on that class.
-// One that can't be is a credit like any other.
+// One that can't be is a credit like any other, unless it belongs to the
+// reserve: that one waits for other classes below their share.
 func (m *Machine) placeBound(p *pool) {
+	keep := p.bound[:0]
 	for _, b := range p.bound {
-		c, i := m.classes[b.class], b.worker.find(b.credit)
-		if c == nil || c.pool != p || i < 0 || b.worker.pos < 0 || b.worker.rank == health.RankProbe ||
-			c.queue.Waiting() == 0 || !m.canStart(c) {
+		i := b.worker.find(b.credit)
+		if i < 0 || b.worker.pool != p {
+			continue
+		}
+		if c := m.classes[b.class]; c != nil && c.pool == p && m.startBound(c, b, i) || !b.reserved || m.startReserved(p, b, i) {
 			continue
 		}
-		t := c.queue.Head().Value
-		if fits(t.size, b.worker.backend.Size) && !t.avoids(b.worker.proc) {
-			m.start(c, b.worker, i)
+		if m.now-b.at < reserveHold {
+			keep = append(keep, b)
+			continue
 		}
+		m.giveBack(b.worker, i)
+	}
+	clear(p.bound[len(keep):])
+	p.bound = keep
+}
+
+// startBound spends a bound credit on the first task of a class.
+func (m *Machine) startBound(c *class, b boundCredit, credit int) bool {
+	w := b.worker
+	if w.leaving || w.rank == health.RankProbe || w.rank == health.RankEjected || !b.reserved && w.pos < 0 ||
+		c.queue.Waiting() == 0 || !m.canStart(c) {
+		return false
+	}
+	t := c.queue.Head().Value
+	if !fits(t.size, w.backend.Size) || t.avoids(w.proc) {
+		return false
 	}
-	p.bound = p.bound[:0]
+	m.start(c, w, credit)
+	return true
+}
+
+// startReserved spends a credit of the reserve on a class below its share.
+func (m *Machine) startReserved(p *pool, b boundCredit, credit int) bool {
+	var below *class
+	p.queue.Each(func(q *fair.Class[*task]) {
+		if p.queue.Below(q) && (below == nil || q.Rank() > below.queue.Rank()) {
+			below = q.Head().Value.job.class
+		}
+	})
+	return below != nil && m.startBound(below, b, credit)
+}
+
+// giveBack returns one credit to its sidecar.
+func (m *Machine) giveBack(w *worker, credit int) {
+	number := w.credits[credit].number
+	w.credits = append(w.credits[:credit], w.credits[credit+1:]...)
+	m.refresh(w)
+	m.waste.ReturnedCredits++
+	m.out = append(m.out, ReturnCredits{Sidecar: w.proc, Credits: []wire.Credit{number}})
 }
 
 func (m *Machine) placePool(p *pool) {
@@ -78,7 +124,7 @@
 			p.queue.Park(q)
 			continue
 		}
-		m.start(c, w, len(w.credits)-1)
+		m.start(c, w, w.lastFree())
 	}
 	p.queue.SetIdle(p.idle)
 	p.queue.Unpark()
--- a/internal/decision/dispatch/pool.go
+++ b/internal/decision/dispatch/pool.go
@@ -37,6 +37,11 @@
 
 // boundCredit is a credit that was granted for a class.
 type boundCredit struct {
+	// reserved is true if only classes below their share may use the credit; at
+	// is the time of its grant.
+	reserved bool
+	at       time.Duration
+
 	worker *worker
 	credit wire.Credit
 	class  wire.Class
--- a/internal/decision/dispatch/tick.go
+++ b/internal/decision/dispatch/tick.go
@@ -23,6 +23,11 @@
 	m.endHeld()
 	m.dropOld()
 	m.probeDue()
+	for _, p := range m.pools {
+		if len(p.bound) > 0 {
+			m.touch(p)
+		}
+	}
 	if m.limited {
 		m.limited = false
 		m.touchAll()
--- a/internal/decision/dispatch/worker.go
+++ b/internal/decision/dispatch/worker.go
@@ -44,6 +44,29 @@
 type credit struct {
 	number wire.Credit
 	at     time.Duration
+	// reserved credits are for classes below their share only.
+	reserved bool
+}
+
+// free returns the number of credits that any class may use.
+func (w *worker) free() int {
+	n := 0
+	for _, c := range w.credits {
+		if !c.reserved {
+			n++
+		}
+	}
+	return n
+}
+
+// lastFree returns the position of the newest credit that any class may use.
+func (w *worker) lastFree() int {
+	for i := len(w.credits) - 1; i >= 0; i-- {
+		if !w.credits[i].reserved {
+			return i
+		}
+	}
+	return -1
 }
 
 // before orders workers for the next task.
@@ -124,7 +147,7 @@
 		return
 	}
 	w.rank = w.health.Rank(m.now)
-	usable := len(w.credits)
+	usable := w.free()
 	if w.leaving || w.rank == health.RankEjected {
 		usable = 0
 	}
--- a/internal/decision/slots/choose.go
+++ b/internal/decision/slots/choose.go
@@ -282,5 +282,19 @@
 	d.left--
 	d.class.waiting--
 	d.class.active, d.class.waited = now, now
+	reserved := m.free() <= m.reserve && m.overloaded(now)
 	m.issue(now, e, d.class)
+	e.credits[len(e.credits)-1].reserved = reserved
+}
+
+// overloaded reports whether a class above its share must be taken for an
+// overload.
+func (m *Machine) overloaded(now time.Duration) bool {
+	sum := m.weights(now)
+	for _, cl := range m.list {
+		if (cl.waiting > 0 || now-cl.waited <= backlogGap) && cl.overloads(now) && !m.within(cl, sum) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/decision/slots/credit.go
+++ b/internal/decision/slots/credit.go
@@ -16,6 +16,8 @@
 	// class is the class that a credit granted on demand counts for; nil for
 	// an idle credit.
 	class *class
+	// reserved is true if the slot belongs to the reserve of an overload.
+	reserved bool
 	// unused is true if the credit has been renewed while its holder had
 	// waiting tasks, for example because the holder has ejected this worker.
 	unused bool
@@ -88,13 +90,14 @@
 		case age >= m.cfg.CreditTTL:
 			m.void(now, c)
 		case age > m.cfg.CreditTTL/3 && alive:
-			cl, unused := c.class, e.hungry()
+			cl, unused, reserved := c.class, e.hungry(), c.reserved
 			if unused {
 				cl = nil
 			}
 			m.remove(now, c)
 			m.issueSlot(now, e, cl, c.id.Slot())
-			e.credits[len(e.credits)-1].unused = unused
+			renewed := e.credits[len(e.credits)-1]
+			renewed.unused, renewed.reserved = unused, reserved
 		default:
 			i++
 		}
@@ -127,7 +130,7 @@
 		if now-c.issued >= m.cfg.CreditTTL {
 			continue
 		}
-		g := wire.Grant{Credit: c.id}
+		g := wire.Grant{Credit: c.id, Reserved: c.reserved}
 		if c.class != nil {
 			g.Class = c.class.name
 		}
--- a/internal/decision/slots/reserve_test.go
+++ b/internal/decision/slots/reserve_test.go
@@ -43,6 +43,14 @@
 		m.Demand(c.after, other, []wire.Demand{normal})
 		m.Demand(c.after, other, nil)
 		m.SetBackend(c.after, &wire.Backend{Slots: 8})
+		if c.name == "overload" {
+			normal.Waiting = 1
+			m.Demand(c.after, other, []wire.Demand{normal})
+			if g := m.Grants(c.after, other); len(g) != 1 || !g[0].Reserved {
+				t.Errorf("%s: grants from the reserve %+v", c.name, g)
+			}
+			m.Detach(c.after, other)
+		}
 		if got := m.free(); got != c.free {
 			t.Errorf("%s: %d slots free, want %d", c.name, got, c.free)
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,9 @@
 	Credit Credit `msgpack:"c"`
 	// Class is the class that the credit is meant for; empty if any.
 	Class Class `msgpack:"k,omitempty"`
+	// Reserved is true if the slot belongs to the reserve: the credit may be
+	// spent only on classes below their share.
+	Reserved bool `msgpack:"r,omitempty"`
 }
 
 // TaskKey names one task of a submission.
