entry: an instance without a configuration never calls a job not run that others run

Change: the filter goes. A request above the bound in flight claims not run only without a submission ID. TestSubmitBeforeConfiguration fails before the change.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -370,6 +370,42 @@
 	}
 }
 
+// TestSubmitBeforeConfiguration guards against an instance without a
+// configuration that calls a submission not run which another instance runs.
+func TestSubmitBeforeConfiguration(t *testing.T) {
+	s := &site{t: t}
+	a := s.addEntry("a")
+	b, err := New(Config{
+		Instance: "b", Zone: "z1", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", InternalAddress: "127.0.0.1:0",
+		Peers: []string{a.InternalAddr()}, BeatInterval: 50 * time.Millisecond,
+	}, Deps{Configuration: noConfig{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); b.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	s.addWorker("w1", a)
+	awaitPeers(t, a, b)
+	id := a.prefix() + "x"
+	if _, ans := post(t, a, id, 2, 1); ans.State != jobapi.JobComplete {
+		t.Fatalf("%+v", ans)
+	}
+	if _, ans := post(t, b, id, 2, 1); ans.NotRun || ans.State != jobapi.JobComplete {
+		t.Fatalf("the same submission at an instance without a configuration: %+v", ans)
+	}
+	if status, ans := post(t, b, "", 1, 1); status != 503 || !ans.NotRun || ans.Reason != jobapi.ReasonNoConfiguration {
+		t.Fatalf("a new submission at an instance without a configuration: %d %+v", status, ans)
+	}
+}
+
+// noConfig is a configuration that has not been received.
+type noConfig struct{ fixedConfig }
+
+func (noConfig) Document() *resource.Document { return nil }
+func (noConfig) Revisions() wire.Revisions    { return wire.Revisions{} }
+
 // TestDeadSidecar guards against a job waiting for its deadline after the
 // sidecar that ran its task has ended.
 func TestDeadSidecar(t *testing.T) {
--- a/internal/entry/filter/inflight/inflight.go
+++ b/internal/entry/filter/inflight/inflight.go
@@ -3,6 +3,7 @@
 package inflight
 
 import (
+	"bytes"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -23,7 +24,9 @@
 	return func(ctx *fasthttp.RequestCtx) {
 		defer config.Count.Add(-1)
 		if config.Count.Add(1) > config.Max {
-			httperr.Write(ctx, fasthttp.StatusServiceUnavailable, httperr.Body{Error: "too many requests in flight", NotRun: ctx.IsPost()})
+			// A submission under an ID may have been accepted before.
+			fresh := ctx.IsPost() && !bytes.Contains(ctx.PostBody(), []byte(`"submissionID"`))
+			httperr.Write(ctx, fasthttp.StatusServiceUnavailable, httperr.Body{Error: "too many requests in flight", NotRun: fresh})
 			return
 		}
 		next(ctx)
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -18,7 +18,6 @@
 	"github.com/cardamomturn/cardamomturn/internal/entry/filter/inflight"
 	"github.com/cardamomturn/cardamomturn/internal/entry/filter/panics"
 	"github.com/cardamomturn/cardamomturn/internal/entry/filter/prefix"
-	"github.com/cardamomturn/cardamomturn/internal/entry/filter/ready"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -39,7 +38,6 @@
 	r.GET("/healthz", e.handleHealth)
 	r.NotFound = notFound
 	h := r.Handler
-	h = ready.New(h, ready.Config{Ready: func() bool { return e.config.Document() != nil }})
 	h = prefix.New(h, prefix.Config{Prefix: e.prefix})
 	h = inflight.New(h, inflight.Config{Count: &e.inFlight, Max: maxInFlight})
 	return panics.New(h, panics.Config{Report: e.reportPanic})
