--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -45,6 +46,7 @@
 			e.core.call(func(now time.Duration) { e.core.killEntry(now, id.Owner) })
 			continue
 		}
+		e.log(event.HTTPForwardFailed, "owner", id.Owner.String(), "err", err)
 		if ctx.Err() != nil {
 			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "the owner of the submission did not answer in time")
 		}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
@@ -149,6 +150,9 @@
 	if err != nil || reply.Gone {
 		sent := err != nil && !errors.Is(err, rpcnet.ErrNotSent)
 		if len(starts) > 0 {
+			if sent {
+				c.e.log(event.EntryDispatchUnknown, "sidecar", l.sidecar.String(), "tasks", len(starts), "err", err)
+			}
 			machine.DispatchFailed(now, l.sidecar, starts, sent)
 		}
 		if current {
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -40,7 +40,11 @@
 	if len(reply.Document) == 0 {
 		return nil
 	}
-	return errors.Annotatef(e.config.Offer(reply.Document), "document from %s", peer.Addr())
+	if err := e.config.Offer(reply.Document); err != nil {
+		return errors.Annotatef(err, "document from %s", peer.Addr())
+	}
+	e.log(event.ConfigPulled, "peer", peer.Addr(), "revision", reply.Revision)
+	return nil
 }
 
 // pullFromSidecar reads the document from a sidecar, which keeps a copy.
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -17,11 +17,6 @@
 		Meaning: "A newer revision came from a peer.",
 		Action:  "None.",
 	}
-	ConfigRestored = &Event{
-		Number: 3004, Severity: Warning, Name: "configuration written back",
-		Meaning: "The store had an older revision than this process; the newest accepted document was written back.",
-		Action:  "Find out who restored the store.",
-	}
 	ConfigAccepted = &Event{
 		Number: 3005, Severity: Info, Name: "change accepted",
 		Meaning: "An operator's change is in the store.",
@@ -37,11 +32,6 @@
 		Meaning: "The store did not confirm a change and reading back failed.",
 		Action:  "The operator reads the resource before repeating the edit.",
 	}
-	ConfigMissing = &Event{
-		Number: 3008, Severity: Warning, Name: "no configuration yet",
-		Meaning: "The process started and has found no document; it accepts no work.",
-		Action:  "Apply a configuration, or restore the contact to the store or peers.",
-	}
 	ConfigStore = &Event{
 		Number: 3009, Severity: Warning, Name: "configuration controller",
 		Meaning: "The configuration controller met a fault of the store or of a document and goes on.",
@@ -49,4 +39,4 @@
 	}
 )
 
-var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigRestored, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigMissing, ConfigStore}
+var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigAccepted, ConfigConflict, ConfigUnknown, ConfigStore}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -77,16 +77,6 @@
 		Meaning: "Tasks proved not started exceed the retry budget and were not retried.",
 		Action:  "Look for an outage of many workers.",
 	}
-	EntryOverload = &Event{
-		Number: 1016, Severity: Warning, Name: "overload of a class",
-		Meaning: "Jobs of a class are refused, because its queue is full or the deadline can't be met.",
-		Action:  "Lower the submission rate of that team, or raise its share or the fleet's size.",
-	}
-	EntryOverloadEnded = &Event{
-		Number: 1017, Severity: Info, Name: "overload of a class ended",
-		Meaning: "Jobs of the class are admitted again.",
-		Action:  "None.",
-	}
 	EntryRestarted = &Event{
 		Number: 1018, Severity: Warning, Name: "incarnation ended",
 		Meaning: "The process answered its jobs with what it knows and goes on as a new incarnation.",
@@ -94,4 +84,4 @@
 	}
 )
 
-var entryEvents = []*Event{EntryStarted, EntryStopped, EntryDraining, EntryDrainTimeout, EntryFenced, EntryLoopGap, EntrySelfLeaseLost, EntrySelfLeaseRegained, EntryOwnerDead, EntryRecoveryDone, EntryRecoveryIncomplete, EntryDispatchUnknown, EntryWorkerEjected, EntryWorkerReadmitted, EntryRetryBudgetSpent, EntryOverload, EntryOverloadEnded, EntryRestarted}
+var entryEvents = []*Event{EntryStarted, EntryStopped, EntryDraining, EntryDrainTimeout, EntryFenced, EntryLoopGap, EntrySelfLeaseLost, EntrySelfLeaseRegained, EntryOwnerDead, EntryRecoveryDone, EntryRecoveryIncomplete, EntryDispatchUnknown, EntryWorkerEjected, EntryWorkerReadmitted, EntryRetryBudgetSpent, EntryRestarted}
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -77,10 +79,10 @@
 	var lines []string
 	logger := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
 	To(logger, EntryStarted, "instance", "e1")
-	To(logger, StoreUnavailable, "step", "get", "err", errors.New("timed out"), "peer", "s")
+	To(logger, ConfigUnknown, "step", "get", "err", errors.New("timed out"), "peer", "s")
 	for i, want := range [][]string{
 		{"E1001 entry started", `"instance"="e1"`},
-		{"E8001 store unavailable", `"error"="timed out"`, `"step"="get" "peer"="s"`},
+		{"E3007 change outcome unknown", `"error"="timed out"`, `"step"="get" "peer"="s"`},
 	} {
 		for _, part := range want {
 			if !strings.Contains(lines[i], part) {
@@ -89,3 +91,36 @@
 		}
 	}
 }
+
+// TestEveryEventIsLogged guards against a catalogue that promises events that
+// the programs never log.
+func TestEveryEventIsLogged(t *testing.T) {
+	var code strings.Builder
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, "../event/") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		code.Write(text)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	declared := regexp.MustCompile(`(?m)^\t(\w+) = &Event`)
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range declared.FindAllStringSubmatch(string(text), -1) {
+			if !regexp.MustCompile(`\bevent\.` + m[1] + `\b`).MatchString(code.String()) {
+				t.Errorf("%s is never logged", m[1])
+			}
+		}
+	}
+}
--- a/internal/event/http.go
+++ b/internal/event/http.go
@@ -2,16 +2,6 @@
 
 // Events of the area http.
 var (
-	HTTPServing = &Event{
-		Number: 7001, Severity: Info, Name: "http port open",
-		Meaning: "An HTTP port accepts connections.",
-		Action:  "None.",
-	}
-	HTTPRequestInvalid = &Event{
-		Number: 7002, Severity: Info, Name: "request invalid",
-		Meaning: "A request was refused because it is malformed.",
-		Action:  "None; the caller sees the reason.",
-	}
 	HTTPPanic = &Event{
 		Number: 7003, Severity: Error, Name: "handler panicked",
 		Meaning: "A request handler panicked; the caller got status 500.",
@@ -24,4 +14,4 @@
 	}
 )
 
-var httpEvents = []*Event{HTTPServing, HTTPRequestInvalid, HTTPPanic, HTTPForwardFailed}
+var httpEvents = []*Event{HTTPPanic, HTTPForwardFailed}
--- a/internal/event/limits.go
+++ b/internal/event/limits.go
@@ -2,21 +2,11 @@
 
 // Events of the area limits.
 var (
-	LimitRaised = &Event{
-		Number: 5001, Severity: Info, Name: "limit raised",
-		Meaning: "The increase was added to a share.",
-		Action:  "None.",
-	}
 	LimitLowering = &Event{
 		Number: 5002, Severity: Warning, Name: "limit lowering",
 		Meaning: "An allowed decrease is under way; holders above their share start nothing.",
 		Action:  "None; the condition Lowering ends when the sum is at the new limit.",
 	}
-	LimitLowered = &Event{
-		Number: 5003, Severity: Info, Name: "limit lowered",
-		Meaning: "The sum of shares is at the new limit.",
-		Action:  "None.",
-	}
 	ShareReclaimed = &Event{
 		Number: 5004, Severity: Info, Name: "share reclaimed",
 		Meaning: "The share of a dead incarnation returned to the live ones.",
@@ -39,4 +29,4 @@
 	}
 )
 
-var limitEvents = []*Event{LimitRaised, LimitLowering, LimitLowered, ShareReclaimed, ShareHeld, DecreaseRefused, LimitStore}
+var limitEvents = []*Event{LimitLowering, ShareReclaimed, ShareHeld, DecreaseRefused, LimitStore}
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -42,11 +42,6 @@
 		Meaning: "The sidecar reaches no entry instance and retries with a growing delay.",
 		Action:  "Check entryAddresses and the network.",
 	}
-	RegionUnreached = &Event{
-		Number: 4009, Severity: Warning, Name: "other region not reached",
-		Meaning: "No entry instance of the other region answers; each region continues on its own.",
-		Action:  "Check the link between the regions.",
-	}
 	ProcessLost = &Event{
 		Number: 4010, Severity: Warning, Name: "process lost",
 		Meaning: "One process was lost while others of its rack and zone live.",
@@ -59,4 +54,4 @@
 	}
 )
 
-var membershipEvents = []*Event{PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, RegionUnreached, ProcessLost, MembershipStore}
+var membershipEvents = []*Event{PeerSeen, PeerLost, SidecarAttached, SidecarLost, RackLost, ZoneLost, EntryChosen, NoEntryReached, ProcessLost, MembershipStore}
--- a/internal/event/sidecar.go
+++ b/internal/event/sidecar.go
@@ -52,16 +52,6 @@
 		Meaning: "A dead entry incarnation is fenced here; it can start nothing any more.",
 		Action:  "None.",
 	}
-	LedgerBodiesEvicted = &Event{
-		Number: 2011, Severity: Warning, Name: "ledger bodies evicted",
-		Meaning: "The byte limit of the ledger was reached and the oldest result bodies were dropped.",
-		Action:  "Raise ledgerBytes, or let tasks return smaller results.",
-	}
-	CreditsExpired = &Event{
-		Number: 2012, Severity: Info, Name: "credits expired",
-		Meaning: "Credits ran out before use, after a pause or a lost contact.",
-		Action:  "None.",
-	}
 )
 
-var sidecarEvents = []*Event{SidecarStarted, SidecarStopped, SidecarDraining, SidecarDrainTimeout, BackendAnnounced, BackendLeaving, BackendLeaseExpired, BackendRefused, BackendBroken, OwnerFenced, LedgerBodiesEvicted, CreditsExpired}
+var sidecarEvents = []*Event{SidecarStarted, SidecarStopped, SidecarDraining, SidecarDrainTimeout, BackendAnnounced, BackendLeaving, BackendLeaseExpired, BackendRefused, BackendBroken, OwnerFenced}
--- /dev/null
+++ b/internal/node/edits.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/controller"
+	"github.com/cardamomturn/cardamomturn/internal/decision/revision"
+	"github.com/cardamomturn/cardamomturn/internal/event"
+)
+
+// loggedConfig logs the outcome of each edit.
+type loggedConfig struct{ *controller.Config }
+
+// Commit implements resourceapi.Config.
+func (c loggedConfig) Commit(ctx context.Context, e revision.Edit) (revision.Result, error) {
+	res, err := c.Config.Commit(ctx, e)
+	logEdit(e, res, err)
+	return res, err
+}
+
+func logEdit(e revision.Edit, res revision.Result, err error) {
+	var (
+		unknown  *controller.UnknownError
+		conflict *revision.ConflictError
+		decrease *revision.DecreaseError
+	)
+	pairs := []any{"resource", e.Ref.String(), "change", e.ChangeID}
+	log := func(ev *event.Event, more ...any) { event.To(klog.Background(), ev, append(pairs, more...)...) }
+	switch {
+	case err == nil:
+		log(event.ConfigAccepted, "revision", res.Revision)
+		if len(res.Lowered) > 0 {
+			log(event.LimitLowering, "lowered", res.Lowered)
+		}
+	case errors.As(err, &unknown):
+		log(event.ConfigUnknown, "err", err)
+	case errors.As(err, &conflict):
+		log(event.ConfigConflict, "current", conflict.Current)
+	case errors.As(err, &decrease):
+		log(event.DecreaseRefused, "lowered", decrease.Lowered)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -43,7 +43,7 @@
 		Store: st, Clock: clock.Real{}, Rand: newRand(), Log: logTo(event.ConfigStore),
 	})
 	status := &lateStatus{}
-	n.api = resourceapi.New(resourceapi.Options{Config: n.Config, Status: status, Clock: clock.Real{}})
+	n.api = resourceapi.New(resourceapi.Options{Config: loggedConfig{n.Config}, Status: status, Clock: clock.Real{}})
 	e, err := entry.New(cfg, entry.Deps{
 		Configuration: n.Config,
 		Metrics:       m,
@@ -57,7 +57,8 @@
 	status.Entry = e
 	n.Entry = e
 	n.limits = controller.NewLimits(st, e, clock.Real{}, newRand(), logTo(event.LimitStore))
-	n.Config.Subscribe(func(*resource.Document) {
+	n.Config.Subscribe(func(doc *resource.Document) {
+		event.To(klog.Background(), event.ConfigInForce, "revision", doc.Revision)
 		e.Reload()
 		n.limits.Kick()
 	})
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -13,6 +13,10 @@
 
 // sidecarEvents maps the names that the sidecar logs under to events.
 var sidecarEvents = map[string]*event.Event{
+	"started":             event.SidecarStarted,
+	"stopped":             event.SidecarStopped,
+	"no-entry":            event.NoEntryReached,
+	"backend-broken":      event.BackendBroken,
 	"backend-announced":   event.BackendAnnounced,
 	"backend-left":        event.BackendLeaving,
 	"backend-lease-ended": event.BackendLeaseExpired,
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -140,6 +140,9 @@
 		return
 	}
 	s.stats.Results.Add(1)
+	if result.State == jobapi.TaskMayHaveRun {
+		s.deps.Log("backend-broken", "task %d of %s: %s", result.Task.Index, result.Task.Submission, result.Error)
+	}
 	b := s.outboxes[owner]
 	if b == nil {
 		b = &outbox{owner: owner, since: now}
--- a/internal/sidecar/link.go
+++ b/internal/sidecar/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -143,6 +144,9 @@
 	l.retryAt = now + time.Duration(s.deps.Rand.Int63n(int64(limit)+1))
 	if l.failures == 1 {
 		s.deps.Log("entry-unreachable", "%s to entry instance %s: %v", step, l.addr, err)
+		if !slices.ContainsFunc(s.links, func(o *link) bool { return o.attached }) {
+			s.deps.Log("no-entry", "%d addresses known", len(s.links))
+		}
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -142,6 +142,8 @@
 		return errors.Trace(err)
 	}
 	go s.rpc.Serve(s.internal)
+	s.deps.Log("started", "%s, local %s, internal %s, operator %s", s.self.Process, s.LocalAddr(), s.InternalAddr(), s.OperatorAddr())
+	defer s.deps.Log("stopped", "%s", s.self.Process)
 	s.serveHTTP(s.local, s.localRoutes())
 	s.serveHTTP(s.operator, s.operatorRoutes())
 	go func() {
