jobapi: drop the refusal reason that nothing gives

Cause: rateLimit was documented, but work under a rate limit waits for its turn and is refused by deadline or queue length only.

--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -109,7 +109,7 @@
 	return b.String()
 }
 
-// counts lists counters by name, such as "queueFull 3, rateLimit 1".
+// counts lists counters by name, such as "queueFull 3, deadline 1".
 func counts(by map[string]int64) string {
 	if len(by) == 0 {
 		return "-"
--- a/internal/entry/own.go
+++ b/internal/entry/own.go
@@ -135,7 +135,7 @@
 	switch r {
 	case jobapi.ReasonUnknownKind, jobapi.ReasonUnknownTeam, jobapi.ReasonNeverRuns:
 		return http.StatusUnprocessableEntity
-	case jobapi.ReasonQueueFull, jobapi.ReasonDeadline, jobapi.ReasonRateLimit, jobapi.ReasonLimitZero:
+	case jobapi.ReasonQueueFull, jobapi.ReasonDeadline, jobapi.ReasonLimitZero:
 		return http.StatusTooManyRequests
 	case jobapi.ReasonCanceled:
 		return http.StatusOK
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -91,7 +91,6 @@
 const (
 	ReasonQueueFull       Reason = "queueFull"
 	ReasonDeadline        Reason = "deadline"
-	ReasonRateLimit       Reason = "rateLimit"
 	ReasonDraining        Reason = "draining"
 	ReasonNoConfiguration Reason = "noConfiguration"
 	ReasonUnknownKind     Reason = "unknownKind"
