recovery: deny nothing about submissions older than the ledgers

Change: the recoverer bounds the age of the submission by the owner's windows and its last heartbeat; an older one is answered as may have run. TestExpired has the case; TestLostSidecar fails without the new condition.

--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -47,8 +47,9 @@
 	Rack string
 	// Since is when the incarnation was first heard of.
 	Since time.Duration
-	// FirstWindow is the submission window that an entry instance named first.
-	FirstWindow uint64
+	// FirstWindow and LastWindow are the submission windows that an entry
+	// instance named first and last.
+	FirstWindow, LastWindow uint64
 	// Seen is when it was last heard from, and Changed when State changed.
 	Seen, Changed time.Duration
 	State         State
@@ -90,6 +91,7 @@
 		t.current[p.Process.Instance] = p.Process
 	}
 	m.Peer, m.Rack, m.Seen = p, rack, now
+	m.LastWindow = max(m.LastWindow, window)
 	if m.State != Live {
 		t.move(now, m, Live)
 	}
--- a/internal/decision/recovery/recovery.go
+++ b/internal/decision/recovery/recovery.go
@@ -3,6 +3,8 @@
 package recovery
 
 import (
+	"time"
+
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -23,6 +25,8 @@
 	// PeersReached is true if all other live entry instances told their
 	// sidecars after the owner was fenced.
 	PeersReached bool
+	// Expired is true if the submission may be older than what the ledgers keep.
+	Expired bool
 	// SidecarLost is true if a sidecar incarnation that the owner could have
 	// used during the life of the submission is gone.
 	SidecarLost bool
@@ -34,6 +38,17 @@
 	Ledger  *wire.LedgerReply
 }
 
+// Expired reports whether a submission of a window may have been started longer
+// ago than retain. The owner was seen last at seen, in the window last; its
+// windows have the same length as those here.
+func Expired(now, seen, length, retain time.Duration, last, window uint64) bool {
+	age := now - seen
+	if last >= window {
+		age += time.Duration(last-window+1) * length
+	}
+	return age > retain
+}
+
 // accounted reports whether nothing of the submission can have started at a
 // sidecar beyond its ledger entries. A sidecar that the owner has never
 // attached is accounted for by its fence.
@@ -47,7 +62,7 @@
 // Complete reports whether every sidecar that the owner could have used is
 // accounted for, so that what is not found has provably not started.
 func Complete(q Question, replies []Reply) bool {
-	if !q.OwnerKnown || q.OwnerWindow >= q.ID.Window || !q.PeersReached || q.SidecarLost {
+	if !q.OwnerKnown || q.OwnerWindow >= q.ID.Window || !q.PeersReached || q.SidecarLost || q.Expired {
 		return false
 	}
 	for _, r := range replies {
--- a/internal/decision/recovery/recovery_test.go
+++ b/internal/decision/recovery/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -92,6 +93,11 @@
 	if a, _ := Judge(q, replies); !a.NotRun || a.State != jobapi.JobRefused {
 		t.Fatalf("all accounted for: %+v", a)
 	}
+	q.Expired = true
+	if a, _ := Judge(q, replies); a.NotRun || a.Tasks[0].State != jobapi.TaskMayHaveRun {
+		t.Fatalf("older than the ledgers: %+v", a)
+	}
+	q.Expired = false
 	q.SidecarLost = true
 	if a, _ := Judge(q, replies); a.NotRun || a.State != jobapi.JobFailed || a.Tasks[0].State != jobapi.TaskMayHaveRun {
 		t.Fatalf("with a lost sidecar: %+v", a)
@@ -109,3 +115,24 @@
 		t.Fatalf("%+v", a)
 	}
 }
+
+// TestExpired guards against "not run" about a submission that is older than
+// the ledgers: 80 s after its start, with ledgers kept for 61 s, a recovered
+// answer denied what had run.
+func TestExpired(t *testing.T) {
+	for _, c := range []struct {
+		now, seen    time.Duration
+		last, window uint64
+		want         bool
+	}{
+		{20, 10, 9, 8, false},
+		{86, 9, 8, 6, true},
+		{60, 50, 49, 2, false},
+		{63, 50, 49, 2, true},
+		{71, 10, 9, 10, true},
+	} {
+		if got := Expired(c.now*time.Second, c.seen*time.Second, time.Second, 60*time.Second, c.last, c.window); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
--- a/internal/entry/recover.go
+++ b/internal/entry/recover.go
@@ -60,6 +60,7 @@
 	// A member that was only heard of as dead has no window and is not known.
 	known = known && owner.Peer.Address != ""
 	q := recovery.Question{ID: id, OwnerKnown: known, OwnerWindow: owner.FirstWindow, SidecarLost: len(v.gone) > 0}
+	q.Expired = recovery.Expired(e.core.now(), owner.Seen, e.cfg.Window, e.cfg.retention(), owner.LastWindow, id.Window)
 	if job == nil {
 		return q
 	}
