--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,8 +41,10 @@
 	rpc                       *rpcnet.Server
 	http                      []*fasthttp.Server
 
-	events   chan func()
-	stop     chan struct{}
+	events chan func()
+	stop   chan struct{}
+	// ended is closed when the core goroutine runs no event any more.
+	ended    chan struct{}
 	stopOnce sync.Once
 	killed   atomic.Bool
 	// calls counts goroutines that call entry instances or the backend server.
@@ -82,6 +84,7 @@
 		cfg: cfg, deps: deps,
 		events:   make(chan func(), eventQueue),
 		stop:     make(chan struct{}),
+		ended:    make(chan struct{}),
 		drained:  make(chan struct{}),
 		outboxes: map[ident.Process]*outbox{},
 	}
@@ -159,6 +162,7 @@
 		}
 	}()
 	s.loop()
+	close(s.ended)
 	s.end()
 	s.rpc.Close()
 	for _, h := range s.http {
@@ -238,7 +242,9 @@
 	select {
 	case <-done:
 		return nil
-	case <-s.stop:
+	case <-s.ended:
+		// Not s.stop: the event may still run, and the caller reads what it
+		// writes.
 		return errors.New("the sidecar has stopped")
 	}
 }
