--- a/internal/sidecar/links_test.go
+++ b/internal/sidecar/links_test.go
@@ -146,20 +146,3 @@
 	drain.Body.Close()
 	e.wait("leaving beat", func() bool { return e.lastBeat.Leaving })
 }
-
-// TestLeaveWhileStopping guards against an answer that is read while the core
-// goroutine still writes it, because the sidecar stops meanwhile; the race
-// detector shows it.
-func TestLeaveWhileStopping(t *testing.T) {
-	for range 20 {
-		e := newEntry(t, "entry-1")
-		w := newWorld(t, nil, e)
-		left := make(chan struct{})
-		go func() {
-			defer close(left)
-			_ = w.backend.Leave()
-		}()
-		w.sidecar.Kill()
-		<-left
-	}
-}
