entry, controller: call what was there already

Change: Machine.Unanswered is called, applySilence has no unused argument, and backoff.failed serves both controllers.

--- a/internal/controller/backoff.go
+++ b/internal/controller/backoff.go
@@ -26,6 +26,15 @@
 	return time.Duration(rnd.Int64N(int64(bound) + 1))
 }
 
+// failed logs the first of the failures in a row and returns the pause before
+// the next attempt.
+func (b *backoff) failed(ctx context.Context, step string, err error, rnd *rand.Rand, log Logf) time.Duration {
+	if b.failures == 0 && ctx.Err() == nil {
+		log("%s: %v; retrying", step, err)
+	}
+	return b.next(rnd)
+}
+
 func (b *backoff) reset() { b.failures = 0 }
 
 // sleep waits for d and reports whether ctx is still alive.
--- a/internal/controller/limits_controller.go
+++ b/internal/controller/limits_controller.go
@@ -75,10 +75,7 @@
 		fresh = err == nil
 		pause := limitsInterval
 		if err != nil {
-			if b.failures == 0 && ctx.Err() == nil {
-				l.log("limit allocation: %v; retrying", err)
-			}
-			pause = b.next(l.rnd)
+			pause = b.failed(ctx, "limit allocation", err, l.rnd, l.log)
 		} else {
 			b.reset()
 		}
--- a/internal/controller/membership_controller.go
+++ b/internal/controller/membership_controller.go
@@ -56,10 +56,7 @@
 	for ctx.Err() == nil {
 		pause := registrationTTL / 3
 		if err := m.step(ctx); err != nil {
-			if b.failures == 0 && ctx.Err() == nil {
-				m.log("registration: %v; retrying", err)
-			}
-			pause = b.next(m.rnd)
+			pause = b.failed(ctx, "registration", err, m.rnd, m.log)
 		} else {
 			b.reset()
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -192,14 +192,10 @@
 	return errors.Annotate(err, "shut down the caller port")
 }
 
-// unanswered counts the tasks that have not ended and the requests in flight.
+// unanswered counts the jobs without an answer and the requests in flight.
 func (e *Entry) unanswered() int64 {
 	n := e.inFlight.Load()
-	e.core.call(func(time.Duration) {
-		for _, c := range e.core.machine.Stats() {
-			n += int64(c.Queued + c.Running)
-		}
-	})
+	e.core.call(func(time.Duration) { n += int64(e.core.machine.Unanswered()) })
 	return n
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -51,7 +51,7 @@
 			return unknown(req.Submission, jobapi.ReasonOwnerUnreached, "the owner of the submission did not answer in time")
 		}
 		time.Sleep(forwardPause)
-		e.core.call(func(now time.Duration) { e.core.suspect(now, id.Owner) })
+		e.core.call(e.core.applySilence)
 	}
 }
 
@@ -106,8 +106,8 @@
 	c.follow(now)
 }
 
-// suspect applies the silence bound to a peer now.
-func (c *core) suspect(now time.Duration, _ ident.Process) {
+// applySilence applies the silence bound to the peers now.
+func (c *core) applySilence(now time.Duration) {
 	c.entries.Tick(now)
 	c.follow(now)
 }
