controller: the test of offers starts with a stored document

The product is right; ruled out: the store, the offer. Change: the store holds the document before the controller starts, so nothing wakes the watch, and the test asserts that no delay runs before the first offer.

--- a/internal/controller/config_restore_test.go
+++ b/internal/controller/config_restore_test.go
@@ -69,9 +69,21 @@
 // before this process started, and against one more pending watch per offer.
 func TestOfferReachesStore(t *testing.T) {
 	s := standin.New(clock.Real{}, time.Hour)
+	data, err := resource.Encode(revision.Initial())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A controller that creates the document wakes its own watch, whose delay may
+	// outlive that watch.
+	if _, err := s.CompareAndSwap(context.Background(), ConfigKey, data, 0, 0); err != nil {
+		t.Fatal(err)
+	}
 	clk := clock.NewManual(time.Unix(0, 0))
 	c := startAt(t, clk, s, 1, 0)
 	eventually(t, "ready with a pending watch", func() bool { return c.Ready() && s.Watches() == 1 })
+	if n := clk.Waiters(); n != 0 {
+		t.Fatalf("%d delays before the first offer", n)
+	}
 	doc := c.Document()
 	for i := range 5 {
 		next, _, err := revision.Apply(doc, team("a", fmt.Sprint("c", i), 5+i))
