broker, placement: batches in doubt are settled, and a link that is left alone is used again

Two causes of work that is stuck for ever: - A batch that a sidecar did not answer made it unused; if the batch was dropped before an answer because nobody waits for its runs (the session has ended), nothing made the sidecar used again. - A batch that is refused after an attempt without an answer was dropped with its runs still under way. If the session does not end, because the sidecar waits for its first answered heartbeat, the ID was answered as under way for ever. Change: dropping such a batch clears the mark; a batch refused in doubt is sent again until it is answered or the session ends; batches of an earlier session are dropped whole.

--- a/internal/broker/link.go
+++ b/internal/broker/link.go
@@ -26,6 +26,11 @@
 // errStale means that the sidecar found a batch too old; it is sent again.
 const errStale = errors.ConstError("the batch was held up on its way")
 
+// errInDoubt means that a batch was refused after an attempt without an answer,
+// which may still be carried out. It is sent again until it is answered, or the
+// sidecar's heartbeat tells that it has dropped the session, or that it is gone.
+const errInDoubt = errors.ConstError("the batch was refused after an attempt without an answer")
+
 // link sends to one sidecar incarnation. Batches go out one at a time and in
 // order, each until the sidecar has answered it; a batch that arrives twice has
 // no further effect. The fields are guarded by Broker.mu.
@@ -82,9 +87,10 @@
 	defer b.mu.Unlock()
 	maybe := false // an earlier attempt may have arrived
 	for len(l.queue) > 0 && b.ctx.Err() == nil {
-		s := l.queue[0]
-		s.Runs = b.m.Wanted(s.Sidecar, s.Runs)
+		s := b.m.Wanted(l.queue[0])
 		if len(s.Runs)+len(s.Stops) == 0 {
+			// The next batch finds out whether the sidecar answers.
+			b.m.Unanswered(l.sidecar, false)
 			l.queue, maybe = l.queue[1:], false
 			continue
 		}
@@ -92,8 +98,12 @@
 		b.mu.Unlock()
 		var reply wire.RunReply
 		err := l.client.CallWithin(b.ctx, callTimeout, wire.ServiceRunner+".Run", &batch, &reply)
-		if err == nil && reply.Stale {
+		switch {
+		case err != nil:
+		case reply.Stale:
 			err = errStale
+		case reply.Gone && maybe:
+			err = errInDoubt
 		}
 		if err != nil {
 			time.Sleep(resendPause)
@@ -106,7 +116,7 @@
 				continue
 			}
 		} else {
-			l.carriedOut(now, s, &reply, maybe)
+			l.carriedOut(now, s, &reply)
 		}
 		if len(l.queue) > 0 {
 			l.queue = l.queue[1:]
@@ -117,18 +127,16 @@
 	l.sending = false
 }
 
-// carriedOut takes the answer to a batch; mu is held.
-func (l *link) carriedOut(now time.Duration, s placement.Send, reply *wire.RunReply, maybe bool) {
+// carriedOut takes the final answer to a batch; mu is held.
+func (l *link) carriedOut(now time.Duration, s placement.Send, reply *wire.RunReply) {
 	b := l.b
 	b.m.Unanswered(l.sidecar, false)
 	if !reply.Gone {
 		b.m.SetLoad(now, l.sidecar, reply.Load)
 		return
 	}
-	event.Limited(event.BatchRefused, "sidecar", l.sidecar.String(), "runs", len(s.Runs), "stops", len(s.Stops), "earlierAttempt", maybe)
-	if !maybe {
-		b.m.Refused(now, l.sidecar, s.Runs)
-	}
+	event.Limited(event.BatchRefused, "sidecar", l.sidecar.String(), "runs", len(s.Runs), "stops", len(s.Stops))
+	b.m.Refused(now, l.sidecar, s.Runs)
 }
 
 // failed takes a call without an answer and reports whether the batch is given
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -188,20 +188,24 @@
 	}
 }
 
-// Wanted returns those of the runs that are still to be started: their jobs have
-// no answer yet. Batches may wait long for a sidecar that does not answer.
-func (m *Machine) Wanted(sidecar ident.Process, runs []wire.RunRequest) []wire.RunRequest {
-	w := m.workers[sidecar]
-	if w == nil {
-		return nil
+// Wanted returns what is left to send of a batch: starts whose jobs have no
+// answer yet, and stops. Batches may wait long for a sidecar that does not
+// answer. Nothing is left of a batch of an earlier session: the sidecar has
+// dropped its runs.
+func (m *Machine) Wanted(s Send) Send {
+	w := m.workers[s.Sidecar]
+	if w == nil || w.session != s.Session {
+		s.Runs, s.Stops = nil, nil
+		return s
 	}
 	var wanted []wire.RunRequest
-	for _, r := range runs {
+	for _, r := range s.Runs {
 		if t := w.tasks[r.Run]; t != nil && !t.job.answered {
 			wanted = append(wanted, r)
 		}
 	}
-	return wanted
+	s.Runs = wanted
+	return s
 }
 
 // SidecarGone says that a sidecar process has ended. What it ran ends when its
