placement: workers are judged by the expected run time, not the declared one

Tasks whose declared time is short have room for a slow worker, and declared times are off by 40%, so slow workers got the tasks that are declared too short, and the ratio of measured to declared time rose further. Ruled out: stale summaries (ages below 250 ms), lost workers, real slowness (run times by class 1.1 to 1.3 of the others').

--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -376,16 +376,22 @@
 }
 
 // Guards against runs that are sent after their job was given up, because the
-// sidecar did not answer for a while.
+// sidecar did not answer for a while, and against batches of a session that the
+// sidecar has ended.
 func TestWanted(t *testing.T) {
 	b := newBench(t, 1)
 	b.submit(newSpec("a", 2, 60*ms))
-	runs := b.runs()[process(0)]
-	if n := len(b.m.Wanted(process(0), runs)); n != 2 {
+	batch := Send{Sidecar: process(0), Runs: b.runs()[process(0)], Stops: []work.RunID{{Attempt: 1}}}
+	if n := len(b.m.Wanted(batch).Runs); n != 2 {
 		t.Errorf("%d of 2 runs are wanted", n)
 	}
+	batch.Session = 1
+	if s := b.m.Wanted(batch); len(s.Runs)+len(s.Stops) != 0 {
+		t.Errorf("of another session %d runs and %d stops are wanted", len(s.Runs), len(s.Stops))
+	}
+	batch.Session = 0
 	b.m.CallerLeft(b.now, "a")
-	if n := len(b.m.Wanted(process(0), runs)); n != 0 {
-		t.Errorf("%d runs of a job without a caller are wanted", n)
+	if s := b.m.Wanted(batch); len(s.Runs) != 0 || len(s.Stops) != 1 {
+		t.Errorf("of a job without a caller %d runs and %d stops are wanted", len(s.Runs), len(s.Stops))
 	}
 }
--- a/internal/decision/placement/send.go
+++ b/internal/decision/placement/send.go
@@ -68,7 +68,7 @@
 	j.facts.Starts++
 	w.runs = append(w.runs, wire.RunRequest{
 		Run: t.run(), Need: step.Need, Payload: j.spec.Payload, Rank: j.spec.Rank,
-		EstimateMs: max(step.Estimate.Milliseconds(), 1),
+		EstimateMs: max(j.estimate(t.step).Milliseconds(), 1),
 		WaitMs:     max((j.startBy(t) - now).Milliseconds(), 1),
 	})
 }
