placement, occupancy: runs come back at once from workers without room

Change: a run that is sent to believed room carries AtOnce and comes back (no room) if there is none, at most four times a task, with a fresh summary; the placement prefers less crowded workers more (40 ms in place of 8), which also spreads tasks from the fast workers.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -237,7 +237,7 @@
 	}
 	f := &a.Facts
 	pairs := []any{"job", a.ID, "queue", f.Queue, "state", a.Answer.State.String(), "tasks", f.Tasks, "done", f.Ended,
-		"starts", f.Starts, "elapsedMs", f.Elapsed.Milliseconds(), "config", b.config.Version()}
+		"starts", f.Starts, "returns", f.Returns, "elapsedMs", f.Elapsed.Milliseconds(), "config", b.config.Version()}
 	if a.Answer.Reason != work.ReasonNone {
 		pairs = append(pairs, "reason", string(a.Answer.Reason))
 	}
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -9,7 +9,8 @@
 )
 
 // Submit queues runs of an owner and starts those that there is room for. Runs
-// that are known already are ignored.
+// that are known already are ignored, and those that are to start at once or not
+// at all are given back if there is no room.
 func (m *Machine) Submit(now time.Duration, owner ident.Process, reqs []wire.RunRequest) {
 	for _, q := range reqs {
 		if old := m.runs[q.Run]; old != nil && old.owner == owner {
@@ -31,6 +32,11 @@
 		}
 	}
 	m.admit(now)
+	for _, q := range reqs {
+		if r := m.runs[q.Run]; q.AtOnce && r != nil && r.owner == owner && r.phase == queued {
+			m.end(now, r, work.NoRoom, "no room at once")
+		}
+	}
 }
 
 // contested reports whether runs of the same task for another owner are still
--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -19,7 +19,7 @@
 	otherZone = 2 * time.Millisecond
 	// crowding is what a full worker costs against an empty one: its room may
 	// have been taken by another entry instance meanwhile.
-	crowding = 8 * time.Millisecond
+	crowding = 40 * time.Millisecond
 	// jitter spreads the choices of entry instances with the same view.
 	jitter = 3 * time.Millisecond
 	// remoteFactor is how much longer a task takes away from its rack.
@@ -32,6 +32,7 @@
 type plan struct {
 	tasks   []*task
 	workers []*worker // nil: no worker takes the task now
+	waits   []time.Duration
 	// wait is the longest wait for room, and least the time to the end of the
 	// last task if its estimate is too long.
 	wait, least time.Duration
@@ -58,7 +59,7 @@
 // planOn chooses a worker for each task: the one on which it ends first, with
 // the room that earlier choices leave.
 func (m *Machine) planOn(now time.Duration, j *job, tasks []*task, candidates []*worker) plan {
-	p := plan{tasks: tasks, workers: make([]*worker, len(tasks)), inTime: true}
+	p := plan{tasks: tasks, workers: make([]*worker, len(tasks)), waits: make([]time.Duration, len(tasks)), inTime: true}
 	saved := make([]wire.Load, len(candidates))
 	for i, w := range candidates {
 		saved[i] = w.load
@@ -71,7 +72,7 @@
 			p.least = max(p.least, waitingPoll+j.least(t.step))
 			continue
 		}
-		p.workers[i] = w
+		p.workers[i], p.waits[i] = w, wait
 		p.wait, p.least = max(p.wait, wait), max(p.least, wait+j.least(t.step))
 		if wait > 0 && now+wait > j.startInTime(t.step) || now+p.least > j.deadline {
 			p.inTime = false
--- a/internal/decision/placement/ends.go
+++ b/internal/decision/placement/ends.go
@@ -80,10 +80,10 @@
 func (m *Machine) ended(now time.Duration, t *task, e wire.RunEnd) {
 	j, w := t.job, t.worker
 	m.detach(t)
-	if e.Outcome != work.Done {
+	if e.Outcome != work.Done && e.Outcome != work.NoRoom {
 		j.facts.LastOutcome, j.facts.LastReason, j.facts.LastWorker = e.Outcome, e.Reason, w.info.Worker
 	}
-	if e.Outcome != work.NotRun && e.Outcome != work.Outdated {
+	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom && e.Outcome != work.Outdated {
 		j.touched = true
 	}
 	if j.answered {
@@ -103,6 +103,13 @@
 			return
 		}
 	case work.Outdated:
+	case work.NoRoom:
+		t.returns++
+		j.facts.Returns++
+		if j.untouched() {
+			m.again(now, j)
+			return
+		}
 	case work.NotRun:
 		t.tries++
 		t.avoid = append(t.avoid, w)
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -17,9 +17,10 @@
 	step, index int
 	attempt     int
 	failures    int
-	// tries counts the runs that found no room in time.
-	tries int
-	done  bool
+	// tries counts the runs that found no room in time, and returns those that
+	// found none at once.
+	tries, returns int
+	done           bool
 	// worker is where the newest run is, nil if there is none.
 	worker *worker
 	// avoid are workers at which earlier runs did not end well.
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -59,10 +59,12 @@
 
 // Facts are what an answer was decided on, for logs.
 type Facts struct {
-	Queue   string
-	Tasks   int
-	Ended   int
-	Starts  int
+	Queue  string
+	Tasks  int
+	Ended  int
+	Starts int
+	// Returns counts the runs that found no room at once.
+	Returns int
 	Elapsed time.Duration
 	// LastOutcome and LastReason are of the newest end other than done.
 	LastOutcome work.Outcome
--- a/internal/decision/placement/send.go
+++ b/internal/decision/placement/send.go
@@ -52,11 +52,19 @@
 			m.wait(j)
 			continue
 		}
-		m.send(now, t, w)
+		m.send(now, t, w, p.waits[i] == 0 && t.returns < maxReturns)
 	}
 }
 
-func (m *Machine) send(now time.Duration, t *task, w *worker) {
+// maxReturns is how often a task comes back from workers that are believed to
+// have room and have none, before it waits at one.
+//
+// Its load is many entry instances that place on the same workers: each one's
+// summaries are older than the starts of the others, so that tasks would wait at
+// one worker while others have room.
+const maxReturns = 4
+
+func (m *Machine) send(now time.Duration, t *task, w *worker, atOnce bool) {
 	j := t.job
 	step := &j.spec.Steps[t.step]
 	m.batch(w)
@@ -70,5 +78,6 @@
 		Run: t.run(), Need: step.Need, Payload: j.spec.Payload, Rank: j.spec.Rank,
 		EstimateMs: max(j.estimate(t.step).Milliseconds(), 1),
 		WaitMs:     max((j.startBy(t) - now).Milliseconds(), 1),
+		AtOnce:     atOnce,
 	})
 }
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -25,6 +25,9 @@
 	EstimateMs int64 `msgpack:"e"`
 	// WaitMs is how long the task may wait for room, in milliseconds.
 	WaitMs int64 `msgpack:"w"`
+	// AtOnce is true if the task is not to wait at all: another worker is believed
+	// to have room.
+	AtOnce bool `msgpack:"o,omitempty"`
 }
 
 // RunBatch carries starts and stops to a sidecar. Both lists keep their order;
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -150,9 +150,12 @@
 	// Outdated means that the worker knows a run of the task with the same or a
 	// higher attempt; this one has not started.
 	Outdated
+	// NoRoom means that the run was to start at once and found no room. It has
+	// not started and never will.
+	NoRoom
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"done", "failed", "not run", "lost", "stalled", "outdated"}[o]
+	return [...]string{"done", "failed", "not run", "lost", "stalled", "outdated", "no room"}[o]
 }
