--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -24,6 +24,10 @@
 	jitter = 3 * time.Millisecond
 	// remoteFactor is how much longer a task takes away from its rack.
 	remoteFactor = 1.5
+	// waitMargin is how many times the expected wait a job must have time for to
+	// be admitted: it ends with the last of its tasks, other entry instances hand
+	// in work meanwhile, and a job that ends late has taken the room of others.
+	waitMargin = 4
 	// maxWait is the wait of a worker that frees no room.
 	maxWait = 10 * time.Second
 )
@@ -74,7 +78,7 @@
 		}
 		p.workers[i], p.waits[i] = w, wait
 		p.wait, p.least = max(p.wait, wait), max(p.least, wait+j.least(t.step))
-		if wait > 0 && now+wait > j.startInTime(t.step) || now+p.least > j.deadline {
+		if wait > 0 && now+waitAllowed(wait, j.spec.Rank) > j.startInTime(t.step) || now+p.least > j.deadline {
 			p.inTime = false
 		}
 		w.reserve(step.Need, j.spec.Rank, j.estimate(t.step).Milliseconds())
@@ -85,6 +89,15 @@
 	return p
 }
 
+// waitAllowed returns the time that a job must have for an expected wait. Nothing
+// passes the most urgent rank.
+func waitAllowed(wait time.Duration, rank int) time.Duration {
+	if rank == 0 {
+		return wait
+	}
+	return time.Duration(waitMargin * float64(wait))
+}
+
 // candidates returns the workers of a service that take work, at most
 // maxCandidates of them by chance.
 func (m *Machine) candidates(service string) []*worker {
