placement: the margin of the expected wait grows with the number of workers

The expected wait is the least of many uncertain ones: its error grows with the number compared. Change: the margin is two thirds of each doubling of the number of workers, at least 1 (11 workers 2.3, 64 workers 4).

--- a/internal/decision/placement/choose.go
+++ b/internal/decision/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -24,10 +25,6 @@
 	jitter = 3 * time.Millisecond
 	// remoteFactor is how much longer a task takes away from its rack.
 	remoteFactor = 1.5
-	// waitMargin is how many times the expected wait a job must have time for to
-	// be admitted: it ends with the last of its tasks, other entry instances hand
-	// in work meanwhile, and a job that ends late has taken the room of others.
-	waitMargin = 4
 	// maxWait is the wait of a worker that frees no room.
 	maxWait = 10 * time.Second
 )
@@ -63,6 +60,7 @@
 // planOn chooses a worker for each task: the one on which it ends first, with
 // the room that earlier choices leave.
 func (m *Machine) planOn(now time.Duration, j *job, tasks []*task, candidates []*worker) plan {
+	margin := waitMargin(j.spec.Rank, len(candidates))
 	p := plan{tasks: tasks, workers: make([]*worker, len(tasks)), waits: make([]time.Duration, len(tasks)), inTime: true}
 	saved := make([]wire.Load, len(candidates))
 	for i, w := range candidates {
@@ -78,7 +76,7 @@
 		}
 		p.workers[i], p.waits[i] = w, wait
 		p.wait, p.least = max(p.wait, wait), max(p.least, wait+j.least(t.step))
-		if wait > 0 && now+waitAllowed(wait, j.spec.Rank) > j.startInTime(t.step) || now+p.least > j.deadline {
+		if wait > 0 && now+time.Duration(margin*float64(wait)) > j.startInTime(t.step) || now+p.least > j.deadline {
 			p.inTime = false
 		}
 		w.reserve(step.Need, j.spec.Rank, j.estimate(t.step).Milliseconds())
@@ -89,13 +87,20 @@
 	return p
 }
 
-// waitAllowed returns the time that a job must have for an expected wait. Nothing
+// marginPerDoubling is the part of waitMargin for each doubling of the number of
+// workers.
+const marginPerDoubling = 2.0 / 3
+
+// waitMargin returns how many times the expected wait a job must have time for
+// to be admitted. The wait is the least of many uncertain ones, so it is the
+// further off the more workers were compared; other entry instances hand in work
+// meanwhile, and a job that ends late has taken the room of others. Nothing
 // passes the most urgent rank.
-func waitAllowed(wait time.Duration, rank int) time.Duration {
+func waitMargin(rank, workers int) float64 {
 	if rank == 0 {
-		return wait
+		return 1
 	}
-	return time.Duration(waitMargin * float64(wait))
+	return max(marginPerDoubling*math.Log2(float64(workers)), 1)
 }
 
 // candidates returns the workers of a service that take work, at most
