placement: a batch that is not taken reserves nothing

While a cut of one direction lasts, sidecars refuse its batches; the reservations of a batch are dropped once a summary includes the batch's sequence, which no refused batch reaches. When all workers look full no further batch is sent, so nothing ends it. Ruled out: job IDs stuck as under way (the answers were refusals), sessions (all four were in contact again 8 s before). Change: reservations of a refused batch, and of one that nobody waits for, are dropped with it.

--- a/internal/broker/link.go
+++ b/internal/broker/link.go
@@ -70,7 +70,7 @@
 func (b *Broker) send(now time.Duration, s placement.Send) {
 	l := b.links[s.Sidecar]
 	if l == nil {
-		b.m.Refused(now, s.Sidecar, s.Runs)
+		b.m.Refused(now, s)
 		return
 	}
 	l.queue = append(l.queue, s)
@@ -91,6 +91,7 @@
 		if len(s.Runs)+len(s.Stops) == 0 {
 			// The next batch finds out whether the sidecar answers.
 			b.m.Unanswered(l.sidecar, false)
+			b.m.NotSent(s)
 			l.queue, maybe = l.queue[1:], false
 			continue
 		}
@@ -136,7 +137,7 @@
 		return
 	}
 	event.Limited(event.BatchRefused, "sidecar", l.sidecar.String(), "runs", len(s.Runs), "stops", len(s.Stops))
-	b.m.Refused(now, l.sidecar, s.Runs)
+	b.m.Refused(now, s)
 }
 
 // failed takes a call without an answer and reports whether the batch is given
@@ -150,7 +151,7 @@
 	}
 	event.Limited(event.RunnerLost, "sidecar", l.sidecar.String(), "ended", ended, "err", err)
 	if !maybe {
-		b.m.Refused(now, l.sidecar, s.Runs)
+		b.m.Refused(now, s)
 	}
 	if ended {
 		b.m.SidecarGone(now, l.sidecar)
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -88,6 +88,13 @@
 	return all
 }
 
+// drain returns the batches sent so far.
+func (b *bench) drain() []Send {
+	list := b.sent
+	b.sent = nil
+	return list
+}
+
 func (b *bench) end(sidecar ident.Process, r wire.RunRequest, o work.Outcome) {
 	b.m.Ends(b.now, sidecar, []wire.RunEnd{{Run: r.Run, Outcome: o, RunMs: 50}})
 	b.collect()
@@ -264,8 +271,8 @@
 func TestBatchRefused(t *testing.T) {
 	b := newBench(t, 1)
 	b.submit(newSpec("a", 1, 60*ms))
-	for p, list := range b.runs() {
-		b.m.Refused(b.now, p, list)
+	for _, s := range b.drain() {
+		b.m.Refused(b.now, s)
 		b.collect()
 	}
 	b.now += 2 * time.Second
@@ -276,6 +283,39 @@
 	}
 }
 
+// Guards against an entry instance that takes a worker for full for ever, and
+// refuses all jobs, because the reservations of refused batches or of batches
+// that nobody waits for outlive them: no later batch is sent whose sequence would
+// end them.
+func TestRefusedBatchReservesNothing(t *testing.T) {
+	for _, refuse := range []bool{true, false} {
+		b := newBench(t, 1)
+		for i := range 10 {
+			b.submit(newSpec(fmt.Sprint("a", i), 1, 60*ms))
+		}
+		for _, s := range b.drain() {
+			if refuse {
+				b.m.Refused(b.now, s)
+			} else {
+				b.m.NotSent(s)
+			}
+			b.collect()
+		}
+		for i := range 10 {
+			b.m.CallerLeft(b.now, fmt.Sprint("a", i))
+		}
+		b.collect()
+		b.sent = nil
+		b.now += 250 * ms
+		b.version++
+		room := work.Amount{MilliCPU: 32000, MemoryMB: 1 << 16}
+		b.m.Heard(b.now, info(0), 0, wire.Load{Version: b.version, Open: true, Slowness: 1, Total: room, Free: room})
+		if a, ok := b.submit(newSpec("b", 10, 60*ms)); !ok {
+			t.Errorf("refused %v: an empty worker is taken for full: %+v", refuse, a)
+		}
+	}
+}
+
 // Guards against steps that start before those they come after.
 func TestSteps(t *testing.T) {
 	b := newBench(t, 2)
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
@@ -167,19 +168,28 @@
 
 // Refused says that a batch was certainly not carried out: the sidecar is
 // another incarnation, or does not take this owner for live.
-func (m *Machine) Refused(now time.Duration, sidecar ident.Process, runs []wire.RunRequest) {
-	w := m.workers[sidecar]
+func (m *Machine) Refused(now time.Duration, s Send) {
+	m.NotSent(s)
+	w := m.workers[s.Sidecar]
 	if w == nil {
 		return
 	}
 	w.load.Open = false
-	for _, r := range runs {
+	for _, r := range s.Runs {
 		if t := w.tasks[r.Run]; t != nil {
 			m.ended(now, t, wire.RunEnd{Run: r.Run, Outcome: work.NotRun, Reason: "the sidecar does not know this owner as live"})
 		}
 	}
 }
 
+// NotSent gives back the room that is reserved for a batch which no summary will
+// ever include, because the sidecar has not taken it and will not.
+func (m *Machine) NotSent(s Send) {
+	if w := m.workers[s.Sidecar]; w != nil {
+		w.pending = slices.DeleteFunc(w.pending, func(r reserved) bool { return r.sequence == s.Sequence })
+	}
+}
+
 // Unanswered says whether the sidecar leaves a batch unanswered. It gets no
 // further work until it answers.
 func (m *Machine) Unanswered(sidecar ident.Process, on bool) {
