runner: runs that come back at once are counted, not logged as bad ends

Cause: three runs in ten come back in an overload; each was a line E8003 (run ended badly), which is limited, so that the lines that tell of failed and stalled runs would be left out. The line of the answer (E8001) has their number. No measurement: only log lines change.

--- a/internal/event/lease.go
+++ b/internal/event/lease.go
@@ -4,7 +4,7 @@
 var (
 	JobAnswered = &Event{
 		Number: 8001, Severity: Info, Name: "job answered",
-		Meaning: "An admitted job has its final answer: completed, failed or unfinished, with the facts that decided it.",
+		Meaning: "An admitted job has its final answer: completed, failed or unfinished, with the facts that decided it; `returns` counts its runs that found no room at once.",
 		Action:  "For an unfinished job, look for its id at the worker named.",
 	}
 	JobRefused = &Event{
@@ -14,7 +14,7 @@
 	}
 	RunEnded = &Event{
 		Number: 8003, Severity: Info, Name: "run ended badly",
-		Meaning: "A run ended otherwise than done; its owner has been told.",
+		Meaning: "A run ended otherwise than done; its owner has been told. Runs that found no room at once are only counted (`runs_ended`, outcome `no room`).",
 		Action:  "If one worker has most of these, inspect its backend server.",
 	}
 	OwnerLost = &Event{
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
 // Config sets a sidecar up.
@@ -231,7 +232,9 @@
 	if r.metrics != nil {
 		r.metrics.Scope().Tagged(map[string]string{"outcome": a.End.Outcome.String()}).Counter("runs_ended").Inc(1)
 	}
-	if a.End.Outcome != 0 {
+	// Runs without room at once are many in an overload, and no fault: they are
+	// counted here and by job in the line of its answer.
+	if a.End.Outcome != work.Done && a.End.Outcome != work.NoRoom {
 		event.Limited(event.RunEnded, "job", a.End.Run.Task.Job, "task", a.End.Run.Task.Index, "attempt", a.End.Run.Attempt,
 			"outcome", a.End.Outcome.String(), "reason", a.End.Reason, "runMs", a.End.RunMs, "worker", r.report.ID, "owner", a.Owner.Instance)
 	}
