occupancy: a run that is to start at once does not hold back those behind it

Cause, found by TestAtOnce, which failed first: of three runs of one batch the first did not fit, and the third came back although there was room for it, since the head of the queue holds back what is behind. Change: a head that is to start at once is given back and the next one is tried. Also TestReturns of placement, and runs at once in the model test of occupancy.

--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -139,6 +139,7 @@
 					Run:  work.RunID{Task: work.TaskID{Job: fmt.Sprint(serial)}, Attempt: 1},
 					Need: work.Amount{MilliCPU: rapid.Int64Range(1, 6).Draw(t, "need")},
 					Rank: rapid.IntRange(0, 2).Draw(t, "rank"), EstimateMs: 100, WaitMs: 300,
+					AtOnce: rapid.Bool().Draw(t, "at once"),
 				}
 				w.need[q.Run] = q.Need.MilliCPU
 				m.Submit(now, owner, []wire.RunRequest{q})
--- a/internal/decision/occupancy/occupancy_test.go
+++ b/internal/decision/occupancy/occupancy_test.go
@@ -55,6 +55,36 @@
 	}
 }
 
+// Guards against runs that wait although they are to start at once, that come
+// back although there is room, or that come back and start later.
+func TestAtOnce(t *testing.T) {
+	m := machine(4)
+	first, second, third := request("first", 3, 1), request("second", 3, 0), request("third", 1, 1)
+	for _, r := range []*wire.RunRequest{&first, &second, &third} {
+		r.AtOnce = true
+	}
+	m.Submit(0, owner, []wire.RunRequest{first, second, third})
+	var started, back []string
+	for _, a := range m.Actions() {
+		switch a := a.(type) {
+		case Order:
+			started = append(started, a.Run.Task.Job)
+		case Report:
+			if a.End.Outcome != work.NoRoom {
+				t.Errorf("%s came back as %v", a.End.Run.Task.Job, a.End.Outcome)
+			}
+			back = append(back, a.End.Run.Task.Job)
+		}
+	}
+	if fmt.Sprint(started) != "[second third]" || fmt.Sprint(back) != "[first]" {
+		t.Errorf("started %v, came back %v", started, back)
+	}
+	m.Ordered(ms, second.Run, Rejected, "")
+	if got := orders(m); len(got) != 0 {
+		t.Errorf("started after it came back: %v", got)
+	}
+}
+
 // Guards against runs that start after their owner is gone, and against room
 // that is given away before their ends are known.
 func TestOwnerGone(t *testing.T) {
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -34,11 +34,13 @@
 	m.admit(now)
 	for _, q := range reqs {
 		if r := m.runs[q.Run]; q.AtOnce && r != nil && r.owner == owner && r.phase == queued {
-			m.end(now, r, work.NoRoom, "no room at once")
+			m.end(now, r, work.NoRoom, noRoomAtOnce)
 		}
 	}
 }
 
+const noRoomAtOnce = "no room at once"
+
 // contested reports whether runs of the same task for another owner are still
 // here, and stops them: the caller has submitted the job again, so nobody waits
 // for the earlier owner's answer.
@@ -54,7 +56,8 @@
 }
 
 // fill starts queued runs in order while they fit. A run that does not fit
-// holds back those behind it, so that small runs don't starve large ones.
+// holds back those behind it, so that small runs don't starve large ones, unless
+// it is to start at once: it is given back then.
 func (m *Machine) fill(now time.Duration) {
 	if !m.Ready() {
 		return
@@ -66,7 +69,11 @@
 			continue
 		}
 		if !m.used.Add(r.Need).Fits(m.worker.Capacity) {
-			return
+			if !r.AtOnce {
+				return
+			}
+			m.end(now, r, work.NoRoom, noRoomAtOnce)
+			continue
 		}
 		m.queue.remove(r)
 		r.phase, r.started, r.moved, r.calling = starting, now, now, true
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -283,6 +283,37 @@
 	}
 }
 
+// Guards against a task that comes back from full workers without end, that waits
+// while another worker has room, and against a refusal while a task of the job is
+// under way.
+func TestReturns(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit(newSpec("a", 2, 60*ms))
+	sent := map[work.RunID]bool{}
+	waits := 0
+	for range 2 * (maxReturns + 1) {
+		for p, list := range b.runs() {
+			for _, r := range list {
+				if sent[r.Run] {
+					t.Fatalf("run %v was sent twice", r.Run)
+				}
+				sent[r.Run] = true
+				if !r.AtOnce {
+					waits++
+					continue
+				}
+				b.end(p, r, work.NoRoom)
+			}
+		}
+	}
+	if waits != 2 || len(sent) != 2*(maxReturns+1) {
+		t.Errorf("%d runs, %d of them wait, want %d and 2", len(sent), waits, 2*(maxReturns+1))
+	}
+	if len(b.answers) != 0 {
+		t.Errorf("answers while runs wait: %v", b.answers)
+	}
+}
+
 // Guards against an entry instance that takes a worker for full for ever, and
 // refuses all jobs, because the reservations of refused batches or of batches
 // that nobody waits for outlive them: no later batch is sent whose sequence would
