controller: judge a store as restored only by a read that follows the held document

Change: if the held document was adopted after the read began, the store is read again at once. TestStaleReadAndRestore delays the reply of one read; it failed before ("the store had reverted to configuration revision 1; revision 3 was written back", the edit is gone) and passes now in 0.00 s. Cost: at most one more read per commit that overlaps a read.

What remains: a store that is restored between a read and the write that follows it, to the same key version, can't be told apart by a compare-and-swap on versions.

--- a/internal/controller/config_restore_test.go
+++ b/internal/controller/config_restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,6 +115,59 @@
 	})
 }
 
+// delayedListStore holds back the reply of the next List after pauseNext until resume
+// is closed.
+type delayedListStore struct {
+	*memstore.Store
+	pauseNext atomic.Bool
+	// read is closed when the delayed List has read the store.
+	read, resume chan struct{}
+}
+
+func (d *delayedListStore) List(ctx context.Context, prefix string) ([]store.KeyValue, uint64, error) {
+	kvs, version, err := d.Store.List(ctx, prefix)
+	if d.pauseNext.CompareAndSwap(true, false) {
+		close(d.read)
+		<-d.resume
+	}
+	return kvs, version, err
+}
+
+// TestStaleReadAndRestore guards against the loss of an edit that is only in a
+// restored store. A read of the store is delayed. It shows a revision older than the
+// one in force only because this process has committed edits in the meantime, which
+// is no evidence of a restore. The restored key has the version of that read again, so
+// that a write on the basis of the read would succeed and replace the edit.
+func TestStaleReadAndRestore(t *testing.T) {
+	s := &delayedListStore{Store: memstore.New(clock.Real{}, 0), read: make(chan struct{}), resume: make(chan struct{})}
+	ctx := context.Background()
+	data, err := resource.Encode(revision.Initial())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.CompareAndSwap(ctx, ConfigKey, data, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	s.pauseNext.Store(true)
+	a := startController(t, s, 1, 0)
+	<-s.read
+	for i, name := range []string{"a", "b"} {
+		if _, err := a.Commit(ctx, teamEdit(name, "c-"+name, 5+i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Restore(olderSnapshot(t, true))
+	close(s.resume)
+	eventually(t, "all edits in the store", func() bool {
+		e, err := s.Get(ctx, ConfigKey)
+		if err != nil {
+			return false
+		}
+		d, err := resource.Decode(e.Value)
+		return err == nil && d.Teams["a"] != nil && d.Teams["b"] != nil && d.Teams["late"] != nil
+	})
+}
+
 // blockingWatchStore holds back watches from version 1 until unblock is closed.
 type blockingWatchStore struct {
 	*memstore.Store
--- a/internal/controller/config_watch.go
+++ b/internal/controller/config_watch.go
@@ -38,6 +38,7 @@
 // for the next change. The read after each watch also detects that the store
 // was restored to an older state, if the watch didn't report it.
 func (c *ConfigController) reconcileAndWatch(ctx context.Context) error {
+	heldBeforeRead := c.Document()
 	kvs, version, err := c.opts.Store.List(ctx, ConfigKey)
 	if err != nil {
 		return errors.Trace(err)
@@ -48,7 +49,10 @@
 			found = kv
 		}
 	}
-	if err := c.reconcile(ctx, found); err != nil {
+	switch err := c.reconcile(ctx, found, heldBeforeRead); {
+	case errors.Is(err, errStaleRead):
+		return nil
+	case err != nil:
 		return err
 	}
 	return c.waitForChange(ctx, version)
@@ -87,10 +91,16 @@
 	return errors.Trace(err)
 }
 
+// errStaleRead means that the read of the store shows an older revision than the held
+// one, which may have been written after the read. That is no evidence of a restored
+// store, so the store has to be read again.
+const errStaleRead = errors.ConstError("the store was read before the held document was adopted")
+
 // reconcile compares the stored document with the held one and writes the
 // newest accepted state to the store if the store lacks it. kv.Version is 0 if
-// the store has no document.
-func (c *ConfigController) reconcile(ctx context.Context, kv store.KeyValue) error {
+// the store has no document. heldBeforeRead is the document that was held when the
+// read of the store began.
+func (c *ConfigController) reconcile(ctx context.Context, kv store.KeyValue, heldBeforeRead *resource.Document) error {
 	if kv.Version == 0 {
 		return c.writeMissingDocument(ctx)
 	}
@@ -98,6 +108,9 @@
 	switch verdict {
 	case revision.Older:
 		held := c.Document()
+		if held != heldBeforeRead {
+			return errStaleRead
+		}
 		return c.writeDocument(ctx, held, kv.Version, "the store had reverted to configuration revision %d; revision %d was written back", stored.Revision, held.Revision)
 	case revision.Forked:
 		held := c.Document()
