controller, entry: a revision is in force once the core loop uses it

A heartbeat, an operator's status or a test that came in between saw the revision in force while jobs were still refused by the older document.

Change: Reload waits until the core loop has the document, and Revisions counts a revision as in force after all subscribers have returned. No deadlock: the core loop takes only the controller's mutex, which is not held during the callbacks; the callbacks run on the goroutines of commits, of the watch and of pulls, none of which the core loop waits for. TestInForceOnceInUse pauses the core loop during a commit; it failed before ("revision 2 is reported as in force while the core loop uses revision 1").

--- a/internal/controller/config_controller.go
+++ b/internal/controller/config_controller.go
@@ -73,8 +73,9 @@
 	notifyMu    sync.Mutex // guards the fields below, held during callbacks
 	subscribers map[int]func(*resource.Document)
 	nextID      int
-	// notifiedRevision is the revision last passed to the subscribers.
-	notifiedRevision uint64
+	// notifiedRevision is the newest revision that all subscribers have received.
+	// It changes only while notifyMu is held.
+	notifiedRevision atomic.Uint64
 }
 
 // publishedDocument is a document with a function that returns its JSON form.
@@ -111,11 +112,14 @@
 // Ready reports whether the process has a document.
 func (c *ConfigController) Ready() bool { return c.current.Load() != nil }
 
-// Revisions returns the revisions that the process reports in heartbeats.
+// Revisions returns the revisions that the process reports in heartbeats. A revision
+// is in force once all subscribers have it.
 func (c *ConfigController) Revisions() wire.Revisions {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.Revisions()
+	r := c.tracker.Revisions()
+	r.InForce = min(r.InForce, c.notifiedRevision.Load())
+	return r
 }
 
 // ObserveRevision records a revision that a peer has. behind reports whether
@@ -168,14 +172,15 @@
 
 // Subscribe calls f with the current document, if there is one, and with each
 // later one, in order and one at a time. Revisions in quick succession may be
-// skipped. f must return quickly and must not call Subscribe or cancel.
+// skipped. A revision counts as in force once f has returned. f must return quickly
+// and must not call Subscribe or cancel.
 func (c *ConfigController) Subscribe(f func(*resource.Document)) (cancel func()) {
 	c.notifyMu.Lock()
 	defer c.notifyMu.Unlock()
 	id := c.nextID
 	c.nextID++
 	c.subscribers[id] = f
-	if doc := c.Document(); doc != nil && c.notifiedRevision == doc.Revision {
+	if doc := c.Document(); doc != nil && c.notifiedRevision.Load() == doc.Revision {
 		f(doc)
 	}
 	return func() {
@@ -238,15 +243,15 @@
 	c.notifyMu.Lock()
 	defer c.notifyMu.Unlock()
 	doc := c.Document()
-	if doc.Revision <= c.notifiedRevision {
+	if doc.Revision <= c.notifiedRevision.Load() {
 		return
 	}
-	c.notifiedRevision = doc.Revision
 	for id := 0; id < c.nextID; id++ {
 		if f := c.subscribers[id]; f != nil {
 			f(doc)
 		}
 	}
+	c.notifiedRevision.Store(doc.Revision)
 }
 
 // requestReread makes the watch loop read the store again after rereadDelay.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -167,7 +167,7 @@
 
 // Reload puts a new configuration document into use without waiting for the next
 // tick.
-func (e *Entry) Reload() { e.core.post(e.core.reloadDocument) }
+func (e *Entry) Reload() { e.core.call(e.core.reloadDocument) }
 
 // Self implements controller.PeerSet.
 func (e *Entry) Self() wire.Peer { return e.core.view.Load().self }
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -140,6 +140,31 @@
 	}
 }
 
+// TestInForceOnceInUse guards against an entry instance that reports a revision as in
+// force before its core loop uses the document, and so still decides by the older one.
+func TestInForceOnceInUse(t *testing.T) {
+	e := startEntry(t, memstore.New(clock.Real{}, 0), "a", loopback)
+	waitFor(t, "a configuration", func() bool { return revisionInForce(e) > 0 })
+	old := revisionInForce(e)
+	resume := e.Pause()
+	defer resume()
+	committed := make(chan error, 1)
+	go func() {
+		_, err := e.Config.Commit(context.Background(), revision.Edit{
+			Ref: resource.Ref{Type: resource.TypeTeam, Name: "a"}, Spec: json.RawMessage(`{}`), ChangeID: "add-a"})
+		committed <- err
+	}()
+	waitFor(t, "the new document", func() bool { return e.Config.Document().Revision > old })
+	if now := revisionInForce(e); now != old {
+		t.Fatalf("revision %d is reported as in force while the core loop uses revision %d", now, old)
+	}
+	resume()
+	waitFor(t, "the new revision in force", func() bool { return revisionInForce(e) > old })
+	if err := <-committed; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestReplaceAllDuringOutage guards against the loss of accepted edits when all entry
 // instances are replaced during an outage of the store, and the store is then restored
 // from an older snapshot.
