slots, entry: ignore a demand summary that a newer one has overtaken

The reply to a heartbeat that was built before a demand arose can arrive after the dispatch that brings the demand, and replaced it; the slot that became free next was granted without a class, and the kind that waited got nothing until the entry instance sent another summary.

Change: entry instances number their summaries (DemandSeq in the four messages that carry one, left out while zero, so older programs are accepted), and slots.SetNumberedDemand ignores one with a lower number. TestOvertakenDemand (slots) and TestOvertakenHeartbeatReply (a delayed heartbeat reply over the wire) fail without the guard. Cost: one integer per message.

--- a/internal/decision/slots/demand.go
+++ b/internal/decision/slots/demand.go
@@ -105,6 +105,24 @@
 	m.distribute(now)
 }
 
+// SetNumberedDemand is SetDemand for a summary with a number, which is higher for
+// newer summaries of the entry incarnation. It ignores a summary that is older than
+// one already set: messages of an entry instance may arrive in another order than
+// that in which their summaries were built, and with an old summary a free slot would
+// be granted for work that no longer waits while other work does.
+func (m *Machine) SetNumberedDemand(now time.Duration, process ident.Process, seq uint64, summary []wire.Demand) {
+	e := m.entries[process]
+	if e == nil {
+		return
+	}
+	if seq < e.demandSeq {
+		e.lastContact = now
+		return
+	}
+	e.demandSeq = seq
+	m.SetDemand(now, process, summary)
+}
+
 // replaceDemand replaces the demand of an entry instance. Credits granted for classes
 // without demand become idle credits.
 func (m *Machine) replaceDemand(now time.Duration, e *entry, summary []wire.Demand) {
--- a/internal/decision/slots/distribute_test.go
+++ b/internal/decision/slots/distribute_test.go
@@ -77,3 +77,21 @@
 		t.Fatalf("%d slots free after ClassIdleTimeout without demand, want 0", free)
 	}
 }
+
+// TestOvertakenDemand guards against an old demand summary that replaces a newer one
+// because its message was overtaken.
+func TestOvertakenDemand(t *testing.T) {
+	m := newMachineWithTwoEntries()
+	owner := entryPeer(0).Process
+	old, waiting := classDemand("old", 1, 1, 100), classDemand("waiting", 1, 1, 100)
+	old.Waiting, waiting.Waiting = 1, 1
+	m.SetNumberedDemand(0, owner, 2, []wire.Demand{waiting})
+	m.SetNumberedDemand(0, owner, 1, []wire.Demand{old})
+	if e := m.entries[owner]; len(e.demand) != 1 || e.demand[0].class.key != waiting.Class {
+		t.Fatalf("demand after an older summary: %+v", e.demand)
+	}
+	m.SetNumberedDemand(0, owner, 3, nil)
+	if e := m.entries[owner]; len(e.demand) != 0 {
+		t.Fatalf("demand after a newer, empty summary: %+v", e.demand)
+	}
+}
--- a/internal/decision/slots/machine.go
+++ b/internal/decision/slots/machine.go
@@ -68,12 +68,14 @@
 	attachedAt       time.Duration
 	// lastContact is the time of the attach, or of the last SetDemand, ReturnCredits
 	// or Start.
-	lastContact    time.Duration
-	joined         bool      // the join rule is satisfied; see applyJoinRule
-	credits        []*credit // unspent credits, oldest first
-	unsent         []*credit // credits not yet returned by TakeGrants
-	sendQueued     bool      // a SendGrants is queued or not yet carried out
-	demand         []demand
+	lastContact time.Duration
+	joined      bool      // the join rule is satisfied; see applyJoinRule
+	credits     []*credit // unspent credits, oldest first
+	unsent      []*credit // credits not yet returned by TakeGrants
+	sendQueued  bool      // a SendGrants is queued or not yet carried out
+	demand      []demand
+	// demandSeq is the number of the newest summary set by SetNumberedDemand.
+	demandSeq      uint64
 	recallPending  bool // the last recall is unanswered
 	lastRecall     time.Duration
 	recallInterval time.Duration // shortest time from the last recall to the next
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -14,8 +14,7 @@
 	}
 	for {
 		actions := c.machine.Actions()
-		d := c.machine.Demand(now)
-		c.demand.Store(&d)
+		c.publishDemand(c.machine.Demand(now))
 		if len(actions) == 0 {
 			break
 		}
@@ -63,9 +62,22 @@
 	c.e.observeJob(a)
 }
 
-func (c *core) currentDemand() []wire.Demand {
+// demandSummary is a demand summary with its number. Later summaries have higher
+// numbers.
+type demandSummary struct {
+	seq     uint64
+	classes []wire.Demand
+}
+
+func (c *core) publishDemand(classes []wire.Demand) {
+	_, seq := c.currentDemand()
+	c.demand.Store(&demandSummary{seq + 1, classes})
+}
+
+// currentDemand returns the newest demand summary and its number.
+func (c *core) currentDemand() ([]wire.Demand, uint64) {
 	if d := c.demand.Load(); d != nil {
-		return *d
+		return d.classes, d.seq
 	}
-	return nil
+	return nil, 0
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -13,7 +13,6 @@
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
-	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
 const (
@@ -89,7 +88,7 @@
 	// Other goroutines also use the fields below.
 	self     atomic.Pointer[ident.Process]
 	window   atomic.Uint64
-	demand   atomic.Pointer[[]wire.Demand]
+	demand   atomic.Pointer[demandSummary]
 	view     atomic.Pointer[view]
 	draining atomic.Bool
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -37,7 +37,7 @@
 // Beat handles the heartbeat of a sidecar.
 func (s service) Beat(req *wire.HeartbeatRequest, reply *wire.HeartbeatReply) error {
 	err := s.callCore(func(now time.Duration) { s.e.core.handleHeartbeat(now, req, reply) })
-	reply.Demand = s.e.core.currentDemand()
+	reply.Demand, reply.DemandSeq = s.e.core.currentDemand()
 	return err
 }
 
@@ -59,7 +59,7 @@
 			m.Grant(now, req.Sidecar, req.Grants)
 		}
 	})
-	reply.Demand = c.currentDemand()
+	reply.Demand, reply.DemandSeq = c.currentDemand()
 	return err
 }
 
@@ -71,7 +71,7 @@
 			reply.Returned = c.machine.Recall(now, req.Sidecar, req.Count)
 		}
 	})
-	reply.Demand = c.currentDemand()
+	reply.Demand, reply.DemandSeq = c.currentDemand()
 	return err
 }
 
--- a/internal/entry/sidecar_client.go
+++ b/internal/entry/sidecar_client.go
@@ -115,8 +115,8 @@
 		Sidecar:  sc.sidecar,
 		Starts:   starts,
 		Returned: returned,
-		Demand:   sc.c.currentDemand(),
 	}
+	req.Demand, req.DemandSeq = sc.c.currentDemand()
 	var reply wire.DispatchReply
 	ctx, cancel := context.WithTimeout(sc.ctx, callTimeout)
 	sentAt := sc.c.now()
--- a/internal/sidecar/configcopy.go
+++ b/internal/sidecar/configcopy.go
@@ -140,12 +140,12 @@
 
 // setDemand passes a demand summary to the state machine, without the kinds whose
 // service is not the service of the backend server.
-func (s *Sidecar) setDemand(now time.Duration, entry ident.Process, summary []wire.Demand) {
+func (s *Sidecar) setDemand(now time.Duration, entry ident.Process, seq uint64, summary []wire.Demand) {
 	if b := s.backend.current; b != nil && s.kinds != nil {
 		summary = slices.DeleteFunc(summary, func(d wire.Demand) bool {
 			k := s.kinds[d.Class.Kind]
 			return k != nil && k.Spec.Service != b.Service
 		})
 	}
-	s.machine.SetDemand(now, entry, summary)
+	s.machine.SetNumberedDemand(now, entry, seq, summary)
 }
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -100,7 +100,7 @@
 		return
 	}
 	s.machine.ReturnCredits(now, req.Entry, req.Returned)
-	s.setDemand(now, req.Entry, req.Demand)
+	s.setDemand(now, req.Entry, req.DemandSeq, req.Demand)
 	reply.Grants = s.machine.TakeGrants(now, req.Entry)
 }
 
--- a/internal/sidecar/fixture_test.go
+++ b/internal/sidecar/fixture_test.go
@@ -38,9 +38,21 @@
 	attachCalls       int
 	lastAttach        wire.AttachRequest
 	lastHeartbeat     wire.HeartbeatRequest
+	heartbeats        int
 	resultCallsToFail int // Results calls that are recorded and then fail
 	document          wire.PullConfigReply
 	demand            []wire.Demand
+	demandSeq         uint64
+	// heartbeatHold, if not nil, delays the replies to heartbeats until it is closed.
+	heartbeatHold chan struct{}
+}
+
+// setDemand sets the demand in later messages.
+func (f *fakeEntry) setDemand(demand ...wire.Demand) {
+	f.update(func() {
+		f.demand = demand
+		f.demandSeq++
+	})
 }
 
 func newFakeEntry(t *testing.T, name string) *fakeEntry {
@@ -121,13 +133,19 @@
 
 func (v *entryService) Beat(req *wire.HeartbeatRequest, reply *wire.HeartbeatReply) error {
 	f := (*fakeEntry)(v)
+	var hold chan struct{}
 	f.update(func() {
 		f.lastHeartbeat = *req
+		f.heartbeats++
 		f.grants = append(f.grants, req.Grants...)
 		reply.Revisions.InForce = f.document.Revision
-		reply.Demand = f.demand
+		reply.Demand, reply.DemandSeq = f.demand, f.demandSeq
 		reply.Unattached = req.Entry != f.peer.Process
+		hold = f.heartbeatHold
 	})
+	if hold != nil {
+		<-hold
+	}
 	reply.EntriesHash = 1
 	return nil
 }
@@ -137,7 +155,7 @@
 	var err error
 	f.update(func() {
 		f.results = append(f.results, req.Results...)
-		reply.Demand = f.demand
+		reply.Demand, reply.DemandSeq = f.demand, f.demandSeq
 		f.grants = append(f.grants, req.Grants...)
 		if f.resultCallsToFail > 0 {
 			f.resultCallsToFail--
@@ -208,7 +226,7 @@
 	fx.t.Helper()
 	req := &wire.DispatchRequest{Entry: e.peer.Process, Sidecar: fx.sidecar.Process(), Starts: []wire.Start{{
 		Credit: credit, Task: wire.TaskKey{Submission: sub}, Class: demoClass, Payload: []byte(payload), TimeLeftMs: 60000}}}
-	e.update(func() { req.Demand = e.demand })
+	e.update(func() { req.Demand, req.DemandSeq = e.demand, e.demandSeq })
 	var reply wire.DispatchReply
 	if err := fx.client.Call(context.Background(), "Sidecar.Dispatch", req, &reply); err != nil {
 		fx.t.Fatal(err)
--- a/internal/sidecar/link.go
+++ b/internal/sidecar/link.go
@@ -198,7 +198,7 @@
 		l.entriesHash = reply.EntriesHash
 		l.attachDue = true
 	}
-	s.setDemand(now, l.peer.Process, reply.Demand)
+	s.setDemand(now, l.peer.Process, reply.DemandSeq, reply.Demand)
 	s.config.noteRevisions(reply.Revisions)
 	s.pullConfig(l, reply.Revisions)
 }
@@ -222,7 +222,7 @@
 			s.stats.EmptyRecalls.Add(1)
 		}
 		s.machine.ReturnCredits(now, a.Entry, reply.Returned)
-		s.setDemand(now, a.Entry, reply.Demand)
+		s.setDemand(now, a.Entry, reply.DemandSeq, reply.Demand)
 	})
 }
 
--- a/internal/sidecar/results.go
+++ b/internal/sidecar/results.go
@@ -61,7 +61,7 @@
 		if len(o.queue) == 0 {
 			delete(s.outboxes, o.owner)
 		}
-		s.setDemand(now, o.owner, reply.Demand)
+		s.setDemand(now, o.owner, reply.DemandSeq, reply.Demand)
 	})
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/cardamomturn/cardamomturn/internal/backend"
@@ -186,9 +187,7 @@
 	if reply.Revision != 5 || string(reply.Document) != revision5 {
 		t.Fatalf("served revision %d: %s", reply.Revision, reply.Document)
 	}
-	e.update(func() {
-		e.demand = []wire.Demand{{Class: demoClass, Waiting: 9, Rank: 9, Weight: 8}, {Class: wire.Class{Kind: "ours"}, Waiting: 1}}
-	})
+	e.setDemand(wire.Demand{Class: demoClass, Waiting: 9, Rank: 9, Weight: 8}, wire.Demand{Class: wire.Class{Kind: "ours"}, Waiting: 1})
 	fx.dispatch(e, e.takeCredit(), e.submissionID("d"), `{}`)
 	e.waitFor("grant for our kind", func() bool {
 		return slices.ContainsFunc(e.grants, func(g wire.Grant) bool { return g.Class.Kind == "ours" })
@@ -197,3 +196,25 @@
 		t.Fatal("a credit was granted for a kind of another service")
 	}
 }
+
+// TestOvertakenHeartbeatReply guards against a free slot that is granted by an old
+// demand summary: the reply to a heartbeat arrives after a dispatch whose summary is
+// newer.
+func TestOvertakenHeartbeatReply(t *testing.T) {
+	e := newFakeEntry(t, "entry-1")
+	fx := newFixture(t, nil, e)
+	credit := e.takeCredit()
+	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	defer release()
+	before := 0
+	e.update(func() { e.heartbeatHold, before = hold, e.heartbeats })
+	e.waitFor("heartbeat with a delayed reply", func() bool { return e.heartbeats > before })
+	e.setDemand(wire.Demand{Class: wire.Class{Kind: "waiting"}, Waiting: 1})
+	fx.dispatch(e, credit, e.submissionID("a"), `{"sleepMs":100}`)
+	e.update(func() { e.heartbeatHold = nil })
+	release()
+	e.waitFor("grant for the waiting kind", func() bool {
+		return slices.ContainsFunc(e.grants, func(g wire.Grant) bool { return g.Class.Kind == "waiting" })
+	})
+}
--- a/internal/wire/attach.go
+++ b/internal/wire/attach.go
@@ -67,9 +67,12 @@
 	// Unattached is true if the sidecar has to attach again.
 	Unattached bool `msgpack:"u,omitempty"`
 	// Seq numbers the replies to one sidecar incarnation.
-	Seq       uint64    `msgpack:"q"`
-	Window    uint64    `msgpack:"w"`
-	Demand    []Demand  `msgpack:"d,omitempty"`
+	Seq    uint64   `msgpack:"q"`
+	Window uint64   `msgpack:"w"`
+	Demand []Demand `msgpack:"d,omitempty"`
+	// DemandSeq numbers the summaries that an entry instance has built. A reply may
+	// arrive after another message with a newer summary.
+	DemandSeq uint64    `msgpack:"n,omitempty"`
 	Revisions Revisions `msgpack:"v"`
 	// EntriesHash is the hash of the list of live entry instances. A sidecar
 	// whose list has another hash attaches again to read the current list.
--- a/internal/wire/task.go
+++ b/internal/wire/task.go
@@ -32,6 +32,8 @@
 // results again until the owner acknowledges them.
 type ResultsReply struct {
 	Demand []Demand `msgpack:"d,omitempty"`
+	// DemandSeq is as in HeartbeatReply.
+	DemandSeq uint64 `msgpack:"n,omitempty"`
 }
 
 // RecallRequest asks an entry instance to return up to Count idle credits. An
@@ -46,6 +48,8 @@
 type RecallReply struct {
 	Returned []Credit `msgpack:"r,omitempty"`
 	Demand   []Demand `msgpack:"d,omitempty"`
+	// DemandSeq is as in HeartbeatReply.
+	DemandSeq uint64 `msgpack:"n,omitempty"`
 }
 
 // DispatchRequest asks a sidecar to start tasks. A request without Starts only
@@ -58,6 +62,8 @@
 	// Returned are unspent credits that the entry instance returns.
 	Returned []Credit `msgpack:"r,omitempty"`
 	Demand   []Demand `msgpack:"d,omitempty"`
+	// DemandSeq is as in HeartbeatReply.
+	DemandSeq uint64 `msgpack:"n,omitempty"`
 }
 
 // DispatchReply is the reply to a DispatchRequest.
