broker: send a stop again until the sidecar has carried it out

The stop of the run followed as a batch of its own; its rejection was taken as final. The run then stayed unsettled for the rest of the session, and its job ID was refused as "already under way" for as long.

Change: a batch of stops is sent again until the sidecar accepts it or its session ends, and of a rejected batch with both, the stops are sent again. The runs of a batch that certainly did not arrive are still given back at once. Sidecars take no runs meanwhile (SetUnresponsive), as for any batch in doubt.

The fake sidecar of these tests now reports the runs of a stop as unknown, as a sidecar does; without that the earlier test would wait for an end that no sidecar withholds.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -28,12 +28,12 @@
 // on the network. The batch is sent again.
 const errStale = errors.ConstError("the batch was delayed too long on the network")
 
-// errOutcomeUnknown means that the sidecar rejected a batch after an earlier
-// attempt to send it got no reply. The sidecar may still carry out that earlier
-// attempt. The batch is sent again until the sidecar accepts it, Prune empties it
-// because of a newer session or answered jobs, or the sidecar has ended or is out of
-// contact.
-const errOutcomeUnknown = errors.ConstError("the batch was rejected after an attempt without a reply, which may still take effect")
+// errOutcomeUnknown means that the sidecar rejected a batch although an earlier
+// transmission may still take effect: one of the same batch that got no reply, or one
+// with the runs that the batch is to stop. The batch is sent again until the sidecar
+// accepts it, Prune empties it because of a newer session or answered jobs,
+// or the sidecar has ended or is out of contact.
+const errOutcomeUnknown = errors.ConstError("the batch was rejected while an earlier transmission may still take effect")
 
 // sidecarClient sends batches to one sidecar incarnation. It sends them one at a
 // time and in order, and repeats each batch until the sidecar has replied. The
@@ -110,7 +110,7 @@
 		case err != nil:
 		case reply.Stale:
 			err = errStale
-		case reply.Rejected && mayHaveArrived:
+		case reply.Rejected && (mayHaveArrived || len(batch.Runs) == 0):
 			err = errOutcomeUnknown
 		}
 		if err != nil {
@@ -123,28 +123,32 @@
 			if !c.handleFailure(now, batch, err, mayHaveArrived) {
 				continue
 			}
-		} else {
-			c.handleReply(now, batch, &reply)
-		}
-		if len(c.queue) > 0 {
-			c.queue = c.queue[1:]
+		} else if stops := c.handleReply(now, batch, &reply); len(stops.Stops) > 0 {
+			c.queue[0] = stops
+			b.runMachine(now)
+			continue
 		}
+		c.queue = c.queue[1:]
 		mayHaveArrived = false
 		b.runMachine(now)
 	}
 	c.sending = false
 }
 
-// handleReply handles the final reply to a batch; mu is held.
-func (c *sidecarClient) handleReply(now time.Duration, batch placement.Batch, reply *wire.RunReply) {
+// handleReply handles the final reply to a batch. It returns the part of the batch
+// that still has to be carried out: the stops, if the sidecar rejected the batch; mu is
+// held.
+func (c *sidecarClient) handleReply(now time.Duration, batch placement.Batch, reply *wire.RunReply) (rest placement.Batch) {
 	b := c.broker
 	b.machine.SetUnresponsive(c.sidecar, false)
 	if !reply.Rejected {
 		b.machine.SetLoad(now, c.sidecar, reply.Load)
-		return
+		return placement.Batch{}
 	}
 	event.LogRateLimited(event.BatchRefused, "sidecar", c.sidecar.String(), "runs", len(batch.Runs), "stops", len(batch.Stops))
 	b.machine.BatchRejected(now, batch)
+	batch.Runs = nil
+	return batch
 }
 
 // handleFailure handles a failed attempt to send a batch. It reports whether the
--- a/internal/broker/sidecarclient_test.go
+++ b/internal/broker/sidecarclient_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,11 +101,18 @@
 	return work.Answer{}
 }
 
-// reportDone reports to the broker that a run has ended with work.Done.
-func (f *fixture) reportDone(run work.RunID) {
+// carryOut reports to the broker that the runs of a batch are done, and, as a sidecar
+// does, that the runs to stop are unknown.
+func (f *fixture) carryOut(b *wire.RunBatch) {
+	var ends []wire.RunEnd
+	for _, r := range b.Runs {
+		ends = append(ends, wire.RunEnd{Run: r.Run})
+	}
+	for _, run := range b.Stops {
+		ends = append(ends, wire.RunEnd{Run: run, Outcome: work.NotRun})
+	}
 	go func() {
-		_ = (&rpcService{f.broker}).Ends(&wire.EndBatch{Entry: f.broker.self.Process, Sidecar: f.peer.Process,
-			Ends: []wire.RunEnd{{Run: run}}}, &wire.EndReply{}) // Ends always returns nil
+		_ = (&rpcService{f.broker}).Ends(&wire.EndBatch{Entry: f.broker.self.Process, Sidecar: f.peer.Process, Ends: ends}, &wire.EndReply{}) // Ends always returns nil
 	}()
 }
 
@@ -130,11 +138,7 @@
 			return 1
 		}
 		s.mu.Lock()
-		s.answer = func(_ int, b *wire.RunBatch, r *wire.RunReply) {
-			for _, run := range b.Runs {
-				f.reportDone(run.Run)
-			}
-		}
+		s.answer = func(_ int, b *wire.RunBatch, r *wire.RunReply) { f.carryOut(b) }
 		s.mu.Unlock()
 		return 2
 	})
@@ -162,9 +166,7 @@
 		case n < 40:
 			r.Rejected = true // the sidecar does not consider the broker live yet
 		default:
-			for _, run := range b.Runs {
-				f.reportDone(run.Run)
-			}
+			f.carryOut(b)
 		}
 	}
 	defer close(hold)
@@ -179,3 +181,41 @@
 		}
 	}
 }
+
+// Guards against a job ID for which each new job is refused as already under way. The
+// sidecar rejects all batches of a session until the job has been answered, also the
+// batch that stops the job's run, of which an earlier transmission may still arrive.
+func TestStopRefusedInDoubt(t *testing.T) {
+	s := &fakeSidecar{}
+	f := newFixture(t, s)
+	hold := make(chan struct{})
+	var answered atomic.Bool
+	var rejectedStops atomic.Int64
+	s.answer = func(n int, b *wire.RunBatch, r *wire.RunReply) {
+		switch {
+		case n == 1:
+			<-hold // no reply before the call times out
+		case !answered.Load() || rejectedStops.Load() < 3:
+			r.Rejected = true
+			if len(b.Stops) > 0 {
+				rejectedStops.Add(1)
+			}
+		default:
+			f.carryOut(b)
+		}
+	}
+	defer close(hold)
+	f.sendHeartbeat(1)
+	if a := f.submit("a", func() uint64 { return 1 }); a.State != work.Unfinished {
+		t.Fatalf("answer to a job whose run may have started: %+v", a)
+	}
+	answered.Store(true)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		f.sendHeartbeat(1)
+		if a := f.submit("a", func() uint64 { return 1 }); a.State == work.Completed {
+			return
+		} else if time.Now().After(end) {
+			t.Fatalf("the same ID once the sidecar takes batches: %+v", a)
+		}
+	}
+}
