--- a/internal/resourceapi/watch.go
+++ b/internal/resourceapi/watch.go
@@ -110,7 +110,10 @@
 	if s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return
 	}
+	clk, interval := s.api.opts.Clock, s.api.opts.HeartbeatInterval
 	heartbeat := true // The first heartbeat tells the client that the stream has begun.
+	lastLine := clk.Now()
+	heartbeatDue := clk.After(interval)
 	for {
 		for _, e := range events {
 			if !s.matches(e) {
@@ -119,6 +122,7 @@
 			if writeLine(w, e) != nil {
 				return
 			}
+			lastLine = clk.Now()
 		}
 		var rev uint64
 		var changed <-chan struct{}
@@ -133,14 +137,18 @@
 			return
 		}
 		heartbeat = false
-		timeout := s.api.opts.HeartbeatInterval + writeTimeout
+		timeout := interval + writeTimeout
 		if s.conn.SetWriteDeadline(time.Now().Add(timeout)) != nil || w.Flush() != nil {
 			return
 		}
 		select {
 		case <-changed:
-		case <-s.api.opts.Clock.After(s.api.opts.HeartbeatInterval):
-			heartbeat = true
+		case now := <-heartbeatDue:
+			rest := interval - now.Sub(lastLine)
+			if heartbeat = rest <= 0; heartbeat {
+				lastLine, rest = now, interval
+			}
+			heartbeatDue = clk.After(rest)
 		case <-s.api.ctx.Done():
 			return
 		}
