--- a/internal/decision/dispatch/submit.go
+++ b/internal/decision/dispatch/submit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/admission"
@@ -99,7 +100,7 @@
 // decision.
 func (m *Machine) decideAdmission(c *class, key wire.Class, req *jobapi.JobRequest, tasks []task, totalCost time.Duration) admission.Refusal {
 	if n := len(req.Tasks); n == 0 || n > jobapi.MaxTasks {
-		return admission.Refusal{Reason: jobapi.ReasonNeverRuns, Message: "a job has 1 to 330 tasks"}
+		return admission.Refusal{Reason: jobapi.ReasonNeverRuns, Message: fmt.Sprintf("a job has 1 to %d tasks", jobapi.MaxTasks)}
 	}
 	facts := admission.Job{Draining: m.draining || m.abandoned, Configured: m.doc != nil}
 	if m.doc != nil {
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -2,10 +2,14 @@
 // submit jobs and to read the answers.
 package jobapi
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
 
 // MaxTasks is the largest number of tasks in one job.
-const MaxTasks = 330
+const MaxTasks = work.MaxTasks
 
 // Header names of the Job API.
 const (
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -105,6 +105,7 @@
 	ReasonOverload      Reason = "overload"
 	ReasonNoWorker      Reason = "no worker"
 	ReasonNeverFits     Reason = "fits no worker"
+	ReasonTooLarge      Reason = "job too large"
 	ReasonDraining      Reason = "draining"
 	ReasonDuplicate     Reason = "already under way"
 	ReasonDeadline      Reason = "deadline"
