runner, broker: attach each sidecar to a bounded number of entry instances

Cause: each sidecar sent each entry instance four heartbeats a second, each reply and each configuration exchange carried the addresses of all entry instances, and each heartbeat walked all sidecars.

Contact is anything that proves the owner alive: answered heartbeats and reports, and batches for the time at which they were built. So pairs without runs need one heartbeat a second, and busy pairs mostly none. - A batch carries the time at which it was built on the sidecar's clock, the same in each transmission, and starts nothing after 700 ms (before: 900 ms after the newest heartbeat). "Stale" is therefore final, and its runs are placed again at once. - An entry instance that was paused for more than 900 ms uses no worker before a new message from it, as before through the age of the heartbeats. - Lists of entry instances travel by hash. Entry instances exchange versions with four others a round, in turn; a new version is announced, and its text read where missing.

TestStaleBatch uses the new, shorter bound.

Per worker: at most 12 + 4 x (entry instances with runs) heartbeats a second; per start nothing; per entry instance 12 W / E heartbeats a second.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -60,11 +60,18 @@
 	machine     *placement.Machine
 	answerChans map[string]chan work.Answer // by job ID
 	sidecars    map[ident.Process]*sidecarClient
-	peers       map[string]*peer
+	peers       map[string]*peer // by address
+	// peerCycle holds the peers whose turn in the current cycle of exchanges has not
+	// come yet.
+	peerCycle   []*peer
+	members     memberList
+	pulling     bool // a configuration is read from a peer, or will be soon
 	nextTick    time.Duration
 	loggedReady bool // the readiness in the last log entry about it
 	tickTimer   *time.Timer
 
+	// announce ends the delay before the next round of exchanges.
+	announce chan struct{}
 	draining atomic.Bool
 	// usableWorkers is the number of workers that accepted tasks at the last call
 	// of updateReadiness.
@@ -85,6 +92,7 @@
 		cfg: cfg, config: config, metrics: registry, rpcServer: rpcnet.NewServer(),
 		machine:     placement.New(placement.Config{Zone: cfg.Zone}, rand.New(rand.NewSource(cfg.Seed))),
 		answerChans: map[string]chan work.Answer{}, sidecars: map[ident.Process]*sidecarClient{}, peers: map[string]*peer{},
+		announce: make(chan struct{}, 1),
 	}
 	if err := listen.Open(listen.Port{Name: "internal", Address: cfg.InternalAddress, Listener: &b.listener}); err != nil {
 		return nil, err
@@ -100,6 +108,7 @@
 	b.rpcServer.OnBadFrame = func(peer string, err error) {
 		event.LogRateLimited(event.RPCFrameRejected, "peer", peer, "err", err)
 	}
+	b.updateMembers()
 	if err := b.rpcServer.Register(wire.ServiceBroker, &rpcService{b}); err != nil {
 		b.listener.Close()
 		return nil, errors.Trace(err)
@@ -126,6 +135,7 @@
 	for _, p := range b.cfg.PeerAddresses {
 		b.AddPeer(p)
 	}
+	b.wg.Go(b.exchangeRounds)
 	return errors.Annotate(b.rpcServer.Serve(b.listener), "serve the internal port")
 }
 
@@ -288,6 +298,7 @@
 	now := clock.SinceBoot()
 	b.nextTick = 0
 	b.runMachine(now)
+	b.closeSilentClients(now)
 	b.updateReadiness()
 }
 
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -19,15 +19,11 @@
 	callTimeout = 350 * time.Millisecond
 	// resendDelay is the delay before a batch is sent again.
 	resendDelay = 20 * time.Millisecond
-	// sidecarTimeout is the time without a heartbeat after which the client of a
-	// sidecar is closed.
+	// sidecarTimeout is the time without a message after which the client of a sidecar
+	// is closed.
 	sidecarTimeout = 10 * time.Second
 )
 
-// errStale means that the sidecar ignored a batch because it was delayed too long
-// on the network. The batch is sent again.
-const errStale = errors.ConstError("the batch was delayed too long on the network")
-
 // errOutcomeUnknown means that the sidecar rejected a batch although an earlier
 // transmission may still take effect: one of the same batch that got no reply, or one
 // with the runs that the batch is to stop. The batch is sent again until the sidecar
@@ -39,14 +35,31 @@
 // time and in order, and repeats each batch until the sidecar has replied. The
 // sidecar carries out a batch only once. The fields are guarded by Broker.mu.
 type sidecarClient struct {
-	broker        *Broker
-	sidecar       ident.Process
-	rpcClient     *rpcnet.Client
-	queue         []placement.Batch
-	sending       bool // sendBatches is running
-	lastHeartbeat time.Duration
-	// sidecarClockMs is the sidecar's clock in its newest heartbeat.
-	sidecarClockMs int64
+	broker      *Broker
+	sidecar     ident.Process
+	rpcClient   *rpcnet.Client
+	queue       []queuedBatch
+	sending     bool // sendBatches is running
+	lastMessage time.Duration
+	// clockOffset is the sidecar's clock minus the clock of this process, according to
+	// the load summary with the version clockVersion. It is too low by the time that the
+	// summary was on the way, so a batch may seem older than it is, never younger.
+	clockOffset  time.Duration
+	clockVersion uint64
+}
+
+// queuedBatch is a batch with the time on the sidecar's clock at which it was built.
+type queuedBatch struct {
+	placement.Batch
+	builtAt time.Duration
+}
+
+// noteClock records the sidecar's clock in a load summary; mu is held.
+func (c *sidecarClient) noteClock(now time.Duration, load *wire.Load) {
+	if load.Version > c.clockVersion {
+		c.clockVersion = load.Version
+		c.clockOffset = time.Duration(load.ClockMs)*time.Millisecond - now
+	}
 }
 
 // clientOf returns the client of a sidecar and creates it if necessary; mu is
@@ -61,11 +74,11 @@
 	return c
 }
 
-// closeSilentClients closes the clients of the sidecars whose heartbeats have
-// timed out; mu is held.
+// closeSilentClients closes the clients of the sidecars that have sent no message for
+// sidecarTimeout; mu is held.
 func (b *Broker) closeSilentClients(now time.Duration) {
 	for id, c := range b.sidecars {
-		if now-c.lastHeartbeat > sidecarTimeout {
+		if now-c.lastMessage > sidecarTimeout {
 			delete(b.sidecars, id)
 			c.rpcClient.Close()
 		}
@@ -79,7 +92,7 @@
 		b.machine.BatchRejected(now, batch)
 		return
 	}
-	c.queue = append(c.queue, batch)
+	c.queue = append(c.queue, queuedBatch{batch, now + c.clockOffset})
 	if !c.sending {
 		c.sending = true
 		go c.sendBatches()
@@ -93,7 +106,7 @@
 	defer b.mu.Unlock()
 	mayHaveArrived := false // an earlier attempt may have reached the sidecar
 	for len(c.queue) > 0 && b.ctx.Err() == nil {
-		batch := b.machine.Prune(c.queue[0])
+		batch, builtAt := b.machine.Prune(c.queue[0].Batch), c.queue[0].builtAt
 		if len(batch.Runs)+len(batch.Stops) == 0 {
 			// Whether the sidecar replies is unknown until the next batch, so
 			// treat it as responsive until then.
@@ -102,15 +115,11 @@
 			c.queue, mayHaveArrived = c.queue[1:], false
 			continue
 		}
-		req := wire.RunBatch{Entry: b.self.Process, Sidecar: batch.Sidecar, Session: batch.Session, SidecarClockMs: c.sidecarClockMs, Sequence: batch.Sequence, Runs: batch.Runs, Stops: batch.Stops}
+		req := wire.RunBatch{Entry: b.self.Process, Sidecar: batch.Sidecar, Session: batch.Session, SidecarClockMs: builtAt.Milliseconds(), Sequence: batch.Sequence, Runs: batch.Runs, Stops: batch.Stops}
 		b.mu.Unlock()
 		var reply wire.RunReply
 		err := c.rpcClient.CallWithTimeout(b.ctx, callTimeout, wire.ServiceRunner+".Run", &req, &reply)
-		switch {
-		case err != nil:
-		case reply.Stale:
-			err = errStale
-		case reply.Rejected && (mayHaveArrived || len(batch.Runs) == 0):
+		if err == nil && reply.Rejected && (mayHaveArrived || len(batch.Runs) == 0) {
 			err = errOutcomeUnknown
 		}
 		if err != nil {
@@ -119,12 +128,12 @@
 		b.mu.Lock()
 		now := clock.SinceBoot()
 		if err != nil {
-			mayHaveArrived = mayHaveArrived || !errors.Is(err, rpcnet.ErrNotSent) && !errors.Is(err, errStale)
+			mayHaveArrived = mayHaveArrived || !errors.Is(err, rpcnet.ErrNotSent)
 			if !c.handleFailure(now, batch, err, mayHaveArrived) {
 				continue
 			}
 		} else if stops := c.handleReply(now, batch, &reply); len(stops.Stops) > 0 {
-			c.queue[0] = stops
+			c.queue[0].Batch = stops
 			b.runMachine(now)
 			continue
 		}
@@ -142,10 +151,17 @@
 	b := c.broker
 	b.machine.SetUnresponsive(c.sidecar, false)
 	if !reply.Rejected {
+		c.noteClock(now, &reply.Load)
 		b.machine.SetLoad(now, c.sidecar, reply.Load)
+		if !reply.Stale {
+			return placement.Batch{}
+		}
+	}
+	event.LogRateLimited(event.BatchRefused, "sidecar", c.sidecar.String(), "runs", len(batch.Runs), "stops", len(batch.Stops), "stale", reply.Stale)
+	if reply.Stale {
+		b.machine.BatchNotStarted(now, batch)
 		return placement.Batch{}
 	}
-	event.LogRateLimited(event.BatchRefused, "sidecar", c.sidecar.String(), "runs", len(batch.Runs), "stops", len(batch.Stops))
 	b.machine.BatchRejected(now, batch)
 	batch.Runs = nil
 	return batch
@@ -181,15 +197,15 @@
 	defer b.mu.Unlock()
 	now := clock.SinceBoot()
 	c := b.clientOf(req.Info.Sidecar)
-	c.lastHeartbeat, c.sidecarClockMs = now, max(c.sidecarClockMs, req.SidecarClockMs)
+	c.lastMessage = now
+	c.noteClock(now, &req.Load)
 	b.machine.Heartbeat(now, req.Info, req.Session, req.Load)
 	b.runMachine(now)
-	b.closeSilentClients(now)
 	if b.usableWorkers.Load() == 0 {
 		b.updateReadiness()
 	}
 	reply.Entry = b.self.Process
-	reply.Peers = b.peerAddresses()
+	reply.Members, reply.MembersHash = b.members.listUnless(req.MembersHash)
 	return nil
 }
 
@@ -203,6 +219,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := clock.SinceBoot()
+	if c := b.sidecars[req.Sidecar]; c != nil {
+		c.lastMessage = now
+		c.noteClock(now, &req.Load)
+	}
 	b.machine.SetLoad(now, req.Sidecar, req.Load)
 	b.machine.RunsEnded(now, req.Sidecar, req.Ends)
 	b.runMachine(now)
@@ -212,13 +232,13 @@
 // Config handles a configuration exchange that a peer starts.
 func (s *rpcService) Config(req *wire.ConfigExchangeRequest, reply *wire.ConfigExchangeReply) error {
 	b := s.broker
-	if len(req.Config) > 0 {
-		b.config.ApplyEncoded(req.Config, req.From)
-	}
 	reply.Version, reply.Config = b.configNewerThan(req.Version)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.addPeer(req.From)
-	reply.Peers = b.peerAddresses()
+	if req.Version > reply.Version {
+		b.pullFrom(req.From.Address)
+	}
+	reply.Members, reply.MembersHash = b.members.listUnless(req.MembersHash)
 	return nil
 }
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -117,6 +117,7 @@
 	statusKnown bool
 
 	runs         map[work.RunID]*run
+	runsOfOwner  map[ident.Process]int // number of runs, by owner
 	byTask       map[work.TaskID][]*run
 	queue        runQueue
 	used         work.Resources
@@ -156,7 +157,7 @@
 	if cfg.StopRetryInterval == 0 {
 		cfg.StopRetryInterval = DefaultStopRetryInterval
 	}
-	return &Machine{cfg: cfg, runs: map[work.RunID]*run{}, byTask: map[work.TaskID][]*run{}, unknownRuns: map[work.RunID]time.Duration{}}
+	return &Machine{cfg: cfg, runs: map[work.RunID]*run{}, runsOfOwner: map[ident.Process]int{}, byTask: map[work.TaskID][]*run{}, unknownRuns: map[work.RunID]time.Duration{}}
 }
 
 // Actions returns the pending actions in order and removes them from the Machine.
@@ -194,14 +195,7 @@
 
 // HasRunsOf reports whether any run of an owner is queued or active. It counts the
 // runs of a dropped owner that have not ended yet.
-func (m *Machine) HasRunsOf(owner ident.Process) bool {
-	for _, r := range m.runs {
-		if r.owner == owner {
-			return true
-		}
-	}
-	return false
-}
+func (m *Machine) HasRunsOf(owner ident.Process) bool { return m.runsOfOwner[owner] > 0 }
 
 // Used returns the resources that the active runs occupy.
 func (m *Machine) Used() work.Resources { return m.used }
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -25,6 +25,7 @@
 		r := &run{RunRequest: q, owner: owner, sequence: m.lastSequence,
 			latestStart: now + time.Duration(q.MaxWaitMs)*time.Millisecond}
 		m.runs[q.Run] = r
+		m.runsOfOwner[owner]++
 		m.byTask[q.Run.Task] = append(m.byTask[q.Run.Task], r)
 		m.queue.push(r)
 		if !q.Need.FitsIn(m.worker.Capacity) {
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -80,6 +80,9 @@
 // endRun removes a run, frees its capacity and reports the end to the owner.
 func (m *Machine) endRun(now time.Duration, r *run, outcome work.Outcome, reason string) {
 	delete(m.runs, r.Run)
+	if m.runsOfOwner[r.owner]--; m.runsOfOwner[r.owner] == 0 {
+		delete(m.runsOfOwner, r.owner)
+	}
 	m.removeFromTask(r)
 	if r.phase == queued {
 		m.queue.remove(r)
--- a/internal/decision/placement/batch.go
+++ b/internal/decision/placement/batch.go
@@ -77,6 +77,10 @@
 	m.markUnsent(w)
 	t.attempt++
 	t.worker = w
+	if len(w.tasks) == 0 {
+		w.activeSince = now
+	}
+	w.lastRunAt = now
 	w.tasks[t.runID()] = t
 	w.reserve(step.Need, j.spec.Rank, j.estimate(t.step).Milliseconds())
 	j.openRuns++
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -24,13 +24,16 @@
 
 // Defaults of Config.
 const (
-	// DefaultHeartbeatTimeout is the time without a heartbeat after which the
-	// Machine sends a worker no more runs. By then the sidecar has stopped the runs
-	// of this entry instance.
+	// DefaultHeartbeatTimeout is the time without a message from a sidecar with runs
+	// of this entry instance after which the Machine sends its worker no more runs. By
+	// then the sidecar has stopped the runs of this entry instance.
 	DefaultHeartbeatTimeout = 900 * time.Millisecond
-	// DefaultLeaseTimeout is the time after the last heartbeat by which the worker
-	// has ended all runs of this entry instance, even if its sidecar has failed,
-	// because their leases have expired.
+	// DefaultIdleTimeout is the same for a sidecar without such runs, which sends
+	// heartbeats less often.
+	DefaultIdleTimeout = 3500 * time.Millisecond
+	// DefaultLeaseTimeout is the time after the last message from a sidecar, or the
+	// last run for it, by which the worker has ended all runs of this entry instance,
+	// even if its sidecar has failed, because their leases have expired.
 	DefaultLeaseTimeout = 2 * time.Second
 )
 
@@ -38,10 +41,11 @@
 type Config struct {
 	// Zone is the availability zone of the entry instance.
 	Zone string
-	// HeartbeatTimeout is the time without a heartbeat after which a worker gets no
-	// more runs, and LeaseTimeout the time without one after which the runs of this
-	// entry instance at the worker have ended.
-	HeartbeatTimeout, LeaseTimeout time.Duration
+	// HeartbeatTimeout and IdleTimeout are the times without a message after which a
+	// worker with and without runs of this entry instance gets no more of them, and
+	// LeaseTimeout the time after which the runs of this entry instance at the worker
+	// have ended.
+	HeartbeatTimeout, IdleTimeout, LeaseTimeout time.Duration
 }
 
 // Action is a request to the caller of the Machine, which does the I/O.
@@ -103,6 +107,9 @@
 	sequence   uint64    // sequence number of the newest batch to any sidecar
 	actions    []Action
 	draining   bool
+	// lastCall is the time of the last Submit or Tick, and nextContactCheck that of the
+	// next check of the times without a message.
+	lastCall, nextContactCheck time.Duration
 }
 
 // New returns a Machine without workers. The caller must not use random
@@ -111,6 +118,9 @@
 	if cfg.HeartbeatTimeout == 0 {
 		cfg.HeartbeatTimeout = DefaultHeartbeatTimeout
 	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = DefaultIdleTimeout
+	}
 	if cfg.LeaseTimeout == 0 {
 		cfg.LeaseTimeout = DefaultLeaseTimeout
 	}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -15,7 +15,7 @@
 	for len(m.unanswered) > 0 && m.unanswered[0].deadline <= now {
 		m.abandon(now, m.unanswered[0], work.ReasonDeadline)
 	}
-	m.checkHeartbeats(now)
+	m.checkContacts(now)
 	m.retryWaiting(now)
 	next := time.Duration(0)
 	if len(m.unanswered) > 0 {
--- a/internal/decision/placement/submit.go
+++ b/internal/decision/placement/submit.go
@@ -44,6 +44,7 @@
 // Submit admits a job or refuses it at once. Each admitted job gets one JobAnswer
 // later.
 func (m *Machine) Submit(now time.Duration, spec *work.Job) (refused work.Answer, ok bool) {
+	m.checkContacts(now)
 	if m.draining {
 		return refusal(work.ReasonDraining, drainingRetryAfter), false
 	}
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -14,11 +14,14 @@
 	info wire.WorkerInfo
 	pool *pool
 	// session increases when the sidecar has dropped all runs of this entry instance.
-	session       uint64
-	lastHeartbeat time.Duration
-	// unreachable is true from the end of the sidecar process, or from
-	// Config.HeartbeatTimeout after the last heartbeat, until the next heartbeat.
-	// unresponsive is true while the sidecar does not answer a batch.
+	session uint64
+	// lastContact is the time of the last message from the sidecar. lastRunAt is the
+	// time at which the newest run for it was created, and activeSince the time since
+	// which tasks is not empty. Since activeSince the sidecar sends frequent heartbeats.
+	lastContact, lastRunAt, activeSince time.Duration
+	// unreachable is true from the end of the sidecar process, or from the timeout
+	// after the last message, until the next heartbeat. unresponsive is true while the
+	// sidecar does not answer a batch.
 	unreachable, unresponsive bool
 
 	load wire.Load
@@ -59,7 +62,7 @@
 	} else if session < w.session || load.Version <= w.load.Version {
 		return
 	}
-	w.lastHeartbeat = now
+	w.lastContact = now
 	w.unreachable = false
 	if w.session < session {
 		w.session = session
@@ -111,7 +114,13 @@
 // SetLoad records a load summary unless a newer one is known.
 func (m *Machine) SetLoad(now time.Duration, sidecar ident.Process, l wire.Load) {
 	w := m.workers[sidecar]
-	if w == nil || l.Version <= w.load.Version && l.Version != 0 {
+	if w == nil {
+		return
+	}
+	if !w.unreachable {
+		w.lastContact = now
+	}
+	if l.Version <= w.load.Version && l.Version != 0 {
 		return
 	}
 	w.load, w.loadReceived = l, now
@@ -183,12 +192,20 @@
 // example because it is another incarnation or does not consider this entry
 // instance live.
 func (m *Machine) BatchRejected(now time.Duration, batch Batch) {
+	if w := m.workers[batch.Sidecar]; w != nil {
+		w.load.AcceptsRuns = false
+	}
+	m.BatchNotStarted(now, batch)
+}
+
+// BatchNotStarted records that a sidecar has started none of the runs of a batch and
+// never will.
+func (m *Machine) BatchNotStarted(now time.Duration, batch Batch) {
 	m.ReleaseReservations(batch)
 	w := m.workers[batch.Sidecar]
 	if w == nil {
 		return
 	}
-	w.load.AcceptsRuns = false
 	for _, r := range batch.Runs {
 		if t := w.tasks[r.Run]; t != nil {
 			m.endRun(now, t, wire.RunEnd{Run: r.Run, Outcome: work.NotRun, Reason: "the sidecar did not accept the batch"})
@@ -240,14 +257,25 @@
 	}
 }
 
-// checkHeartbeats stops using workers without a recent heartbeat, and removes
-// workers whose leases have expired.
-func (m *Machine) checkHeartbeats(now time.Duration) {
+// contactCheckInterval is the time between two checks of all workers for messages that
+// have not come.
+const contactCheckInterval = 20 * time.Millisecond
+
+// checkContacts stops using workers that are out of contact, and removes workers whose
+// leases have expired. After a pause of this process it stops using all workers: what it
+// has read from them may be older than the pause.
+func (m *Machine) checkContacts(now time.Duration) {
+	paused := m.lastCall > 0 && now-m.lastCall > m.cfg.HeartbeatTimeout
+	m.lastCall = now
+	if now < m.nextContactCheck && !paused {
+		return
+	}
+	m.nextContactCheck = now + contactCheckInterval
 	for id, w := range m.workers {
-		if !w.unreachable && now-w.lastHeartbeat > m.cfg.HeartbeatTimeout {
+		if !w.unreachable && (paused || m.outOfContact(now, w)) {
 			m.markUnreachable(now, w)
 		}
-		if w.unreachable && now-w.lastHeartbeat > m.cfg.LeaseTimeout {
+		if w.unreachable && now > m.leasesEnd(w) {
 			m.loseTasks(now, w, "no heartbeat arrived before the leases expired")
 			m.removeFromPool(w)
 			delete(m.workers, id)
@@ -255,11 +283,25 @@
 	}
 }
 
+// outOfContact reports whether a message from the sidecar of a worker is overdue.
+func (m *Machine) outOfContact(now time.Duration, w *worker) bool {
+	if len(w.tasks) == 0 {
+		return now-w.lastContact > m.cfg.IdleTimeout
+	}
+	return now-max(w.lastContact, w.activeSince) > m.cfg.HeartbeatTimeout
+}
+
+// leasesEnd returns the time by which the runs at a worker have ended if no further
+// message arrives. A batch also proves to the sidecar that this entry instance is alive.
+func (m *Machine) leasesEnd(w *worker) time.Duration {
+	return max(w.lastContact, w.lastRunAt) + m.cfg.LeaseTimeout
+}
+
 // markUnreachable stops using a worker. It abandons each job with a task there
 // whose deadline is too early to run the task again after the leases have expired.
 func (m *Machine) markUnreachable(now time.Duration, w *worker) {
 	w.unreachable = true
-	leasesEnd := w.lastHeartbeat + m.cfg.LeaseTimeout
+	leasesEnd := m.leasesEnd(w)
 	for _, t := range sortedTasks(w) {
 		j := t.job
 		if j.answered {
@@ -317,8 +359,8 @@
 	return len(m.workers), usable
 }
 
-// InContact reports whether a recent heartbeat of a sidecar has arrived.
+// InContact reports whether a sidecar is known and no message from it is overdue.
 func (m *Machine) InContact(now time.Duration, sidecar ident.Process) bool {
 	w := m.workers[sidecar]
-	return w != nil && now-w.lastHeartbeat <= m.cfg.HeartbeatTimeout
+	return w != nil && !w.unreachable && !m.outOfContact(now, w)
 }
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -54,7 +54,7 @@
 	}
 	BatchRefused = &Event{
 		Number: 8011, Severity: Warning, Name: "batch refused",
-		Meaning: "A sidecar rejected a whole batch because the batch was addressed to an earlier incarnation or session; the entry instance places the tasks again.",
+		Meaning: "A sidecar started no run of a batch because the batch was addressed to an earlier incarnation or session, or (stale) was delayed for too long; the entry instance places the tasks again.",
 		Action:  "None; expected after restarts and network interruptions.",
 	}
 	ReadinessChanged = &Event{
@@ -67,9 +67,14 @@
 		Meaning: "A worker's report is unreadable or lacks fields; the sidecar ignores the report.",
 		Action:  "Find the sender.",
 	}
+	EntryDetached = &Event{
+		Number: 8014, Severity: Info, Name: "entry detached",
+		Meaning: "A sidecar has detached from an entry instance, because it has chosen others (`no longer chosen`) or because that one has not answered for a minute (`no answer`). It sends no more heartbeats to that instance and takes no more runs from it.",
+		Action:  "If an entry instance that runs is detached because it has not answered, check the network between the two.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
-	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed,
+	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
 }
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -6,12 +6,15 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// entryClient sends heartbeats to the entry instance at one address.
+// entryClient sends heartbeats to the entry instance at one address. The fields below
+// owner are guarded by Runner.mu, too.
 type entryClient struct {
 	runner    *Runner
 	address   string
@@ -20,90 +23,125 @@
 	// owner is the entry incarnation that replied last, nil before the first reply;
 	// guarded by Runner.mu.
 	owner *owner
-	// failingSince is the time since which heartbeats fail, zero if the last one
-	// was answered; guarded by Runner.mu.
-	failingSince time.Duration
+	// firstSession is the session that the first heartbeats report. It is higher than
+	// those of an earlier attachment to the same incarnation.
+	firstSession uint64
+	// failingSince is the time since which heartbeats fail, zero if the last one was
+	// answered. retryDelay is the delay before the next one after a failure.
+	failingSince, retryDelay time.Duration
+	// unwanted is true if the sidecar detaches from the entry instance, which is then
+	// told that the worker accepts no runs.
+	unwanted bool
+	// sendNow requests a heartbeat without further delay. lastSentAt is the time of the
+	// last heartbeat, and plannedAt the time until which sendHeartbeats sleeps.
+	sendNow               bool
+	lastSentAt, plannedAt time.Duration
+	// members is the newest list of entry instances from this one, and membersHash its
+	// hash.
+	members     []wire.Peer
+	membersHash uint64
 }
 
-// AddEntry starts sending heartbeats to the entry instance at an address.
-func (r *Runner) AddEntry(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.addEntry(address)
-}
-
-// addEntry is AddEntry with mu held.
-func (r *Runner) addEntry(address string) {
-	if address == "" || r.entries[address] != nil || r.ctx.Err() != nil {
-		return
-	}
-	c := &entryClient{runner: r, address: address, rpcClient: rpcnet.NewClient(address), wakeCh: make(chan struct{}, 1)}
-	c.rpcClient.OnDisconnect = c.wake
-	r.entries[address] = c
-	r.wg.Go(c.sendHeartbeats)
+// wake makes sendHeartbeats send the next heartbeat at once; mu is held.
+func (c *entryClient) wake() {
+	c.sendNow = true
+	c.interrupt()
 }
 
-// wake makes sendHeartbeats send the next heartbeat at once.
-func (c *entryClient) wake() {
+// interrupt makes sendHeartbeats compute the time of the next heartbeat again.
+func (c *entryClient) interrupt() {
 	select {
 	case c.wakeCh <- struct{}{}:
 	default:
 	}
 }
 
+// scheduleHeartbeat makes sure that the next heartbeat is not planned too late for an
+// owner that has become busy; mu is held.
+func (c *entryClient) scheduleHeartbeat(now time.Duration) {
+	if c.plannedAt > now+heartbeatInterval {
+		c.interrupt()
+	}
+}
+
 const (
-	// maxHeartbeatDelay bounds the delay between heartbeats to an entry instance
-	// that does not reply.
-	maxHeartbeatDelay = time.Second
+	// firstRetryDelay is the delay after the first failed heartbeat, and maxRetryDelay
+	// bounds the delay between heartbeats to an entry instance that does not reply.
+	firstRetryDelay = 375 * time.Millisecond
+	maxRetryDelay   = time.Second
 	// entryTimeout is the time for which heartbeats to an entry instance have to
 	// fail before the instance is removed. An instance that AddEntry or a
 	// heartbeat reply names later is added again.
 	entryTimeout = time.Minute
 )
 
+// dueAt returns the time of the next heartbeat; mu is held.
+func (c *entryClient) dueAt(now time.Duration) time.Duration {
+	switch {
+	case c.sendNow:
+		return now
+	case c.failingSince > 0:
+		return c.plannedAt
+	case c.owner == nil || !c.owner.Live():
+		return c.lastSentAt + heartbeatInterval
+	case c.owner.busy():
+		return max(c.owner.LastContact(), c.lastSentAt) + heartbeatInterval
+	}
+	return max(c.owner.LastContact(), c.lastSentAt) + idleHeartbeatInterval
+}
+
 // sendHeartbeats sends heartbeats until the entry instance is removed or the sidecar
 // stops.
 func (c *entryClient) sendHeartbeats() {
-	delay := heartbeatInterval
-	timer := time.NewTimer(delay)
+	r := c.runner
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		switch ok, removed := c.sendHeartbeat(); {
-		case removed:
+		if c.sendHeartbeat() {
 			return
-		case ok:
-			delay = heartbeatInterval
-		default:
-			delay = min(delay*3/2, maxHeartbeatDelay)
 		}
-		timer.Reset(delay)
-		select {
-		case <-c.runner.ctx.Done():
-			return
-		case <-timer.C:
-		case <-c.wakeCh:
+		for {
+			r.mu.Lock()
+			now := clock.SinceBoot()
+			c.plannedAt = c.dueAt(now)
+			delay := c.plannedAt - now
+			if delay <= 0 {
+				c.sendNow = false
+			}
+			r.mu.Unlock()
+			if delay <= 0 {
+				break
+			}
+			timer.Reset(delay)
+			select {
+			case <-r.ctx.Done():
+				return
+			case <-timer.C:
+			case <-c.wakeCh:
+			}
 		}
 	}
 }
 
 // sendHeartbeat sends one heartbeat, unless runs of an earlier session have not ended
-// yet. It reports whether to keep the usual interval, and whether the entry instance
-// has been removed.
-func (c *entryClient) sendHeartbeat() (ok, removed bool) {
+// yet. It reports whether the entry instance has been removed.
+func (c *entryClient) sendHeartbeat() (removed bool) {
 	r := c.runner
 	sentAt := r.lockAndDropSilentOwners()
 	r.updateAvailability(sentAt)
+	c.lastSentAt = sentAt
 	o := c.owner
-	if o != nil && !o.live && r.machine.HasRunsOf(o.process) {
+	if o != nil && !o.Live() && r.machine.HasRunsOf(o.process) {
 		// A heartbeat would start a new session, in which no run of the earlier
 		// session may still be active.
 		r.runMachineAndUnlock(sentAt)
-		return true, false
+		return false
 	}
-	req := wire.RunnerHeartbeat{Info: r.workerInfo(), Load: r.load(sentAt, o), SidecarClockMs: sentAt.Milliseconds()}
+	req := wire.RunnerHeartbeat{Info: r.workerInfo(), Load: r.load(sentAt, o), Session: c.firstSession, MembersHash: c.membersHash}
 	if o != nil {
-		req.Session = o.session
+		req.Session = o.Session()
 	}
+	detaching := c.unwanted && (o == nil || !o.busy())
 	r.updateGauges(&req.Load)
 	r.runMachineAndUnlock(sentAt)
 	var reply wire.RunnerHeartbeatReply
@@ -111,11 +149,20 @@
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
 	if err != nil {
-		return false, c.handleFailure(now, err)
+		c.handleFailure(now, err)
+	} else {
+		c.handleReply(now, sentAt, req.Session, &reply)
 	}
-	c.failingSince = 0
-	c.handleReply(now, sentAt, req.Session, &reply)
-	return true, false
+	if detaching && c.unwanted && (c.owner == nil || !c.owner.busy()) {
+		c.remove(now, "no longer chosen")
+		return true
+	}
+	if err != nil && now-c.failingSince > entryTimeout && (c.owner == nil || !c.owner.Live() || !c.owner.busy()) {
+		delete(r.seeds, c.address)
+		c.remove(now, "no answer")
+		return true
+	}
+	return false
 }
 
 // updateGauges updates the gauges of the worker's free capacity, queued runs and
@@ -127,27 +174,22 @@
 	scope := r.metrics.Scope()
 	scope.Gauge("worker_free_millicpu").Update(float64(load.Free.MilliCPU))
 	scope.Gauge("worker_queued_millicpu").Update(float64(load.QueuedMilliCPU[0] + load.QueuedMilliCPU[1] + load.QueuedMilliCPU[2]))
+	scope.Gauge("entries_attached").Update(float64(len(r.entries)))
 	scope.Gauge("worker_slowness").Update(load.Slowness)
 }
 
-// handleFailure handles a failed heartbeat. It reports whether the entry instance
-// has been removed; mu is held.
-func (c *entryClient) handleFailure(now time.Duration, err error) bool {
+// handleFailure handles a failed heartbeat; mu is held.
+func (c *entryClient) handleFailure(now time.Duration, err error) {
 	if c.owner != nil && errors.Is(err, syscall.ECONNREFUSED) {
-		c.runner.dropOwner(now, c.owner, "the process has ended", now-c.owner.lastContact)
+		c.runner.dropOwner(now, c.owner, "the process has ended", now-c.owner.LastContact())
 	}
 	if c.failingSince == 0 {
-		c.failingSince = now
-	}
-	if now-c.failingSince < entryTimeout || c.owner != nil && c.owner.live {
-		return false
+		c.failingSince, c.retryDelay = now, firstRetryDelay
+	} else {
+		c.retryDelay = min(c.retryDelay*3/2, maxRetryDelay)
 	}
-	delete(c.runner.entries, c.address)
-	if c.owner != nil {
-		delete(c.runner.owners, c.owner.process)
-	}
-	c.rpcClient.Close()
-	return true
+	c.plannedAt = now + c.retryDelay
+	c.runner.updateAttachments(now)
 }
 
 // handleReply handles the reply to a heartbeat of a session; mu is held.
@@ -162,29 +204,33 @@
 		}
 		o := r.owners[reply.Entry]
 		if o == nil {
-			o = &owner{runner: r, process: reply.Entry, session: session}
+			o = &owner{Owner: ownership.New(session), runner: r, process: reply.Entry}
 			r.owners[reply.Entry] = o
 		}
 		o.client = c
 		c.owner = o
 	}
 	o := c.owner
-	if o.session != session {
+	if o.Session() != session {
 		c.wake() // the owner was dropped in the meantime; the next heartbeat reports the new session
 		return
 	}
-	if now-sentAt > ownerTimeout {
+	wasLive := o.Live()
+	if !o.HeartbeatAnswered(now, sentAt, session) {
 		return
 	}
-	o.lastContact = max(o.lastContact, sentAt)
-	if !o.live {
-		o.live = true
+	if !wasLive {
 		event.LogRateLimited(event.OwnerInContact, "owner", o.process.String(), "address", c.address, "session", session)
 	}
-	for _, address := range reply.Peers {
-		r.addEntry(address)
+	recovered := c.failingSince > 0 || !wasLive
+	c.failingSince = 0
+	changed := reply.MembersHash != c.membersHash && len(reply.Members) > 0
+	if changed {
+		c.members, c.membersHash = reply.Members, reply.MembersHash
+	}
+	if changed || recovered {
+		r.updateAttachments(now)
 	}
-	r.scheduleTick(now, o.lastContact+ownerTimeout+time.Millisecond)
 }
 
 // workerInfo returns the description of this sidecar and its worker for a heartbeat;
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
@@ -15,40 +16,49 @@
 // owner is an entry incarnation that sends runs to this sidecar. Its fields are
 // guarded by Runner.mu.
 type owner struct {
+	ownership.Owner
 	runner  *Runner
 	process ident.Process
 	client  *entryClient
-	// lastContact is the time at which the newest answered heartbeat was sent.
-	lastContact time.Duration
-	// live is false while the owner is out of contact. session increases each time
-	// that the owner's runs are dropped.
-	live    bool
-	session uint64
-	// appliedSequence is the sequence number of the newest batch that was carried
-	// out in this session.
-	appliedSequence uint64
 	// pendingEnds are the ends of runs that the owner has not acknowledged.
 	pendingEnds []wire.RunEnd
 	sending     bool // sendEnds is running
 }
 
-// dropSilentOwners drops the owners that are out of contact; mu is held.
+// busy reports whether the owner has runs here, or ends that it has not acknowledged; mu
+// is held.
+func (o *owner) busy() bool {
+	return len(o.pendingEnds) > 0 || o.runner.machine.HasRunsOf(o.process)
+}
+
+// dropSilentOwners drops the owners that are out of contact and have runs here; mu is
+// held.
 func (r *Runner) dropSilentOwners(now time.Duration) {
 	for _, o := range r.owners {
-		if o.live && now-o.lastContact > ownerTimeout {
-			r.dropOwner(now, o, "no answer to heartbeats", now-o.lastContact)
+		if o.OutOfContact(now) && o.busy() {
+			r.dropOwner(now, o, "no answer to heartbeats", now-o.LastContact())
 		}
 	}
 }
 
+// nextOwnerTimeout returns the time after which the first owner with runs here is out of
+// contact, zero if there is no such owner; mu is held.
+func (r *Runner) nextOwnerTimeout() time.Duration {
+	first := time.Duration(0)
+	for _, o := range r.owners {
+		if at := o.LastContact() + ownership.Timeout + time.Millisecond; o.Live() && o.busy() && (first == 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
 // dropOwner stops the runs of an owner and ends its session; mu is held.
 func (r *Runner) dropOwner(now time.Duration, o *owner, reason string, silence time.Duration) {
-	if !o.live {
+	if !o.Live() {
 		return
 	}
-	o.live = false
-	o.session++
-	o.appliedSequence = 0
+	o.Drop()
 	o.pendingEnds = nil
 	runs := r.machine.DropOwner(now, o.process)
 	event.LogRateLimited(event.OwnerLost, "owner", o.process.String(), "reason", reason, "silentMs", silence.Milliseconds(),
@@ -72,8 +82,10 @@
 // load returns the load summary for an owner, which may be nil; mu is held.
 func (r *Runner) load(now time.Duration, o *owner) wire.Load {
 	load := r.machine.Load(now)
+	load.ClockMs = now.Milliseconds()
 	if o != nil {
-		load.AppliedSequence = o.appliedSequence
+		load.AppliedSequence = o.AppliedSequence()
+		load.AcceptsRuns = load.AcceptsRuns && !o.client.unwanted
 	}
 	return load
 }
@@ -93,15 +105,16 @@
 func (o *owner) sendEnds() {
 	r := o.runner
 	r.mu.Lock()
-	for len(o.pendingEnds) > 0 && o.live && r.ctx.Err() == nil {
+	for len(o.pendingEnds) > 0 && o.Live() && r.ctx.Err() == nil {
 		now := clock.SinceBoot()
 		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
-		session := o.session
+		session := o.Session()
 		r.mu.Unlock()
 		var reply wire.EndReply
 		err := o.client.rpcClient.CallWithTimeout(r.ctx, callTimeout, wire.ServiceBroker+".Ends", &batch, &reply)
 		r.mu.Lock()
-		if err == nil && o.session == session {
+		if err == nil && o.Session() == session {
+			o.ReportAnswered(now, session)
 			o.pendingEnds = o.pendingEnds[len(batch.Ends):]
 			if reply.WrongIncarnation {
 				r.dropOwner(clock.SinceBoot(), o, "another process answers", 0)
@@ -120,12 +133,6 @@
 // endResendDelay is the delay before ends are sent again.
 const endResendDelay = 20 * time.Millisecond
 
-// maxBatchAge bounds the time from the newest heartbeat that the sender of a batch
-// had received to the arrival of the batch. A batch that arrives later was delayed on
-// the network: its jobs may have been abandoned in the meantime and submitted again
-// elsewhere.
-const maxBatchAge = 900 * time.Millisecond
-
 // rpcService is the RPC service that entry instances call.
 type rpcService struct{ runner *Runner }
 
@@ -136,25 +143,34 @@
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
 	o := r.owners[req.Entry]
-	if o == nil || !o.live || req.Session != o.session || req.Sidecar != r.self.Process {
+	if o == nil || req.Sidecar != r.self.Process {
 		reply.Rejected = true
 		return nil
 	}
-	if now-time.Duration(req.SidecarClockMs)*time.Millisecond > maxBatchAge {
-		reply.Stale = true
+	switch o.Admit(now, ownership.Batch{Session: req.Session, Sequence: req.Sequence, BuiltAt: time.Duration(req.SidecarClockMs) * time.Millisecond, HasRuns: len(req.Runs) > 0}) {
+	case ownership.Rejected:
+		reply.Rejected = true
 		return nil
-	}
-	if req.Sequence > o.appliedSequence {
-		o.appliedSequence = req.Sequence
+	case ownership.Apply:
 		r.machine.Submit(now, o.process, req.Runs)
-		for _, id := range req.Stops {
-			if !r.machine.Stop(now, id) {
-				// The run was never sent, or its end has been reported to the owner.
-				o.pendingEnds = append(o.pendingEnds, wire.RunEnd{Run: id, Outcome: work.NotRun, Reason: "unknown run"})
-			}
-		}
-		o.startSending()
+		o.stopRuns(now, req.Stops)
+	case ownership.Stale:
+		reply.Stale = true
+		o.stopRuns(now, req.Stops)
+	case ownership.Applied:
 	}
+	o.client.scheduleHeartbeat(now)
 	reply.Load = r.load(now, o)
 	return nil
 }
+
+// stopRuns stops runs that the owner no longer needs; mu is held.
+func (o *owner) stopRuns(now time.Duration, runs []work.RunID) {
+	for _, id := range runs {
+		if !o.runner.machine.Stop(now, id) {
+			// The run was never sent, or its end has been reported to the owner.
+			o.pendingEnds = append(o.pendingEnds, wire.RunEnd{Run: id, Outcome: work.NotRun, Reason: "unknown run"})
+		}
+	}
+	o.startSending()
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -47,15 +47,13 @@
 }
 
 const (
-	// heartbeatInterval is the time between two heartbeats to an entry instance.
-	heartbeatInterval = 250 * time.Millisecond
+	// heartbeatInterval is the time from the newest contact with an owner that has runs
+	// here to the next heartbeat, and idleHeartbeatInterval that for an entry instance
+	// without runs here. Reports and batches count as contact, too.
+	heartbeatInterval     = 250 * time.Millisecond
+	idleHeartbeatInterval = time.Second
 	// callTimeout is the timeout of a call to an entry instance.
 	callTimeout = 350 * time.Millisecond
-	// ownerTimeout is the time without an answered heartbeat after which an
-	// owner's runs are stopped. The runs have ended before the owner's own timeout
-	// for heartbeats of this sidecar passes, and before a caller that got no
-	// answer submits its job again.
-	ownerTimeout = 700 * time.Millisecond
 	// maxMissedReports is the number of report intervals without a report after
 	// which the worker gets no new runs.
 	maxMissedReports = 3
@@ -87,11 +85,14 @@
 	// zero before the first one. It may differ from report.Incarnation.
 	statusIncarnation int64
 	owners            map[ident.Process]*owner
-	entries           map[string]*entryClient // by address
-	acceptsRuns       bool                    // the value of machine.AcceptsRuns in the last log entry about it
-	draining          bool
-	nextTick          time.Duration // zero if none is scheduled
-	tickTimer         *time.Timer
+	// seeds are the addresses that AddEntry has added, and entries the clients of the
+	// entry instances to which this sidecar attaches, by address.
+	seeds       map[string]bool
+	entries     map[string]*entryClient
+	acceptsRuns bool // the value of machine.AcceptsRuns in the last log entry about it
+	draining    bool
+	nextTick    time.Duration // zero if none is scheduled
+	tickTimer   *time.Timer
 }
 
 // New creates a sidecar and opens its internal port. dialWorker returns a client of
@@ -100,7 +101,7 @@
 	r := &Runner{
 		cfg: cfg, dialWorker: dialWorker, metrics: registry, rpcServer: rpcnet.NewServer(),
 		machine: occupancy.New(occupancy.Config{}),
-		owners:  map[ident.Process]*owner{}, entries: map[string]*entryClient{},
+		owners:  map[ident.Process]*owner{}, seeds: map[string]bool{}, entries: map[string]*entryClient{},
 	}
 	if err := listen.Open(listen.Port{Name: "internal", Address: cfg.InternalAddress, Listener: &r.listener}); err != nil {
 		return nil, err
@@ -206,6 +207,9 @@
 // schedules the next tick; mu is held.
 func (r *Runner) runMachine(now time.Duration) {
 	next := r.machine.Tick(now)
+	if at := r.nextOwnerTimeout(); at > 0 && (next == 0 || at < next) {
+		next = at
+	}
 	for actions := r.machine.Actions(); len(actions) > 0; actions = r.machine.Actions() {
 		for _, a := range actions {
 			r.carryOut(now, a)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
@@ -25,8 +26,9 @@
 	defer r.cancel()
 	entry := ident.Process{Instance: "entry", Incarnation: 1}
 	now := clock.SinceBoot()
-	r.owners[entry] = &owner{runner: r, process: entry, live: true, lastContact: now, session: 4,
-		client: &entryClient{runner: r, rpcClient: rpcnet.NewClient(r.Address())}}
+	r.owners[entry] = &owner{Owner: ownership.New(4), runner: r, process: entry,
+		client: &entryClient{runner: r, rpcClient: rpcnet.NewClient(r.Address()), wakeCh: make(chan struct{}, 1)}}
+	r.owners[entry].HeartbeatAnswered(now, now, 4)
 	batch := wire.RunBatch{Entry: entry, Sidecar: r.self.Process, Session: 4, SidecarClockMs: now.Milliseconds(), Sequence: 7,
 		Runs: []wire.RunRequest{{Run: work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}, MaxWaitMs: 1000}}}
 	for _, c := range []struct {
@@ -34,7 +36,7 @@
 		change          func(b *wire.RunBatch)
 		rejected, stale bool
 	}{
-		{"delayed", func(b *wire.RunBatch) { b.SidecarClockMs -= maxBatchAge.Milliseconds() + 1 }, false, true},
+		{"delayed", func(b *wire.RunBatch) { b.SidecarClockMs -= ownership.Timeout.Milliseconds() + 1 }, false, true},
 		{"of an earlier session", func(b *wire.RunBatch) { b.Session = 3 }, true, false},
 		{"for another process", func(b *wire.RunBatch) { b.Sidecar.Incarnation++ }, true, false},
 		{"of another owner", func(b *wire.RunBatch) { b.Entry.Incarnation++ }, true, false},
@@ -46,7 +48,7 @@
 		if err := (&rpcService{r}).Run(&b, &reply); err != nil || reply.Rejected != c.rejected || reply.Stale != c.stale {
 			t.Errorf("batch %s: reply %+v, error %v", c.name, reply, err)
 		}
-		if applied := r.owners[entry].appliedSequence == batch.Sequence; applied != (c.name == "in time") {
+		if applied := r.owners[entry].AppliedSequence() == batch.Sequence; applied != (c.name == "in time") {
 			t.Errorf("batch %s: applied %v", c.name, applied)
 		}
 	}
--- a/internal/sidecar/reconcile.go
+++ b/internal/sidecar/reconcile.go
@@ -4,8 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/cardamomturn/cardamomturn/internal/decision/attachment"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
@@ -14,6 +13,10 @@
 // when an entry instance attaches or fails.
 const reconcileInterval = time.Second
 
+// ownZoneAttachments is the number of entry instances of the sidecar's own availability
+// zone that are chosen before those of other zones.
+const ownZoneAttachments = 1
+
 // openConfiguredLinks opens links to the configured addresses that have none.
 func (s *Sidecar) openConfiguredLinks() {
 	for _, addr := range s.cfg.EntryAddresses {
@@ -58,44 +61,6 @@
 	return peers
 }
 
-// score is the rendezvous hash of an entry instance for a sidecar. It does not depend
-// on incarnations, so that a restart does not change the choice.
-func score(sidecar, entry string) uint64 { return xxhash.Sum64String(sidecar + "\x00" + entry) }
-
-// chooseEntries returns the count entry instances that a sidecar attaches to. The first
-// has the highest score in the sidecar's own availability zone, if that zone has an
-// entry instance. Each further one has the highest score in the zones from which the
-// fewest are chosen so far.
-func chooseEntries(sidecar, zone string, peers []wire.Peer, count int) []wire.Peer {
-	candidates := slices.Clone(peers)
-	slices.SortFunc(candidates, func(a, b wire.Peer) int {
-		if score(sidecar, a.Process.Instance) > score(sidecar, b.Process.Instance) {
-			return -1
-		}
-		return 1
-	})
-	var chosen []wire.Peer
-	chosenPerZone := map[string]int{}
-	choose := func(i int) {
-		chosenPerZone[candidates[i].Zone]++
-		chosen = append(chosen, candidates[i])
-		candidates = slices.Delete(candidates, i, i+1)
-	}
-	if i := slices.IndexFunc(candidates, func(p wire.Peer) bool { return p.Zone == zone }); i >= 0 && count > 0 {
-		choose(i)
-	}
-	for len(chosen) < count && len(candidates) > 0 {
-		best := 0
-		for i := range candidates {
-			if chosenPerZone[candidates[i].Zone] < chosenPerZone[candidates[best].Zone] {
-				best = i
-			}
-		}
-		choose(best)
-	}
-	return chosen
-}
-
 // reconcile opens links to the chosen entry instances and marks the other links as
 // unwanted. It attaches wanted entry instances to the state machine and detaches
 // unwanted ones from it.
@@ -103,7 +68,7 @@
 	s.reconciledAt = now
 	s.correctAddresses()
 	live := s.liveEntries()
-	chosen := chooseEntries(s.self.Process.Instance, s.cfg.Zone, live, s.cfg.Attachments)
+	chosen := attachment.Choose(s.self.Process.Instance, s.cfg.Zone, live, s.cfg.Attachments, ownZoneAttachments)
 	for _, p := range chosen {
 		s.openLink(p.Address)
 	}
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -40,8 +40,10 @@
 	Sidecar ident.Process `msgpack:"s"`
 	// Session is the Session of the sidecar's newest heartbeat.
 	Session uint64 `msgpack:"n"`
-	// SidecarClockMs is the sidecar's clock in the newest heartbeat that the
-	// sender has read. The sidecar uses it to detect a delayed batch.
+	// SidecarClockMs is the sender's estimate of the sidecar's clock when it built the
+	// batch, in milliseconds: the clock in the newest load summary plus the time since
+	// its arrival. It is the same in each transmission of the batch. The sidecar uses
+	// it to detect a delayed batch.
 	SidecarClockMs int64 `msgpack:"c"`
 	// Sequence increases with each batch that the sender sends to any sidecar.
 	Sequence uint64       `msgpack:"q"`
@@ -55,9 +57,8 @@
 	// batch names, does not consider the entry instance live, or is in another
 	// session. It has started nothing then.
 	Rejected bool `msgpack:"g,omitempty"`
-	// Stale is true if the batch was delayed too long on the network. The sidecar
-	// has then not carried it out, but may have carried out an earlier
-	// transmission of the same batch.
+	// Stale is true if the batch was delayed too long. No transmission of it has
+	// started its runs and none will. Its stops have been carried out.
 	Stale bool `msgpack:"s,omitempty"`
 	Load  Load `msgpack:"l"`
 }
@@ -66,6 +67,8 @@
 type Load struct {
 	// Version increases with each summary that a sidecar incarnation sends.
 	Version uint64 `msgpack:"v"`
+	// ClockMs is the sidecar's clock when it built the summary, in milliseconds.
+	ClockMs int64 `msgpack:"m"`
 	// AppliedSequence is the sequence number of the receiver's newest batch that
 	// the summary includes.
 	AppliedSequence uint64 `msgpack:"q,omitempty"`
@@ -137,28 +140,30 @@
 	// Session increases when the sidecar has dropped all runs of the receiver.
 	// None of the runs of earlier sessions is still running.
 	Session uint64 `msgpack:"n"`
-	// SidecarClockMs is the sidecar's clock when it sent the heartbeat, in
-	// milliseconds.
-	SidecarClockMs int64 `msgpack:"c"`
+	// MembersHash is the hash of the receiver's list of members that the sender
+	// holds.
+	MembersHash uint64 `msgpack:"h,omitempty"`
 }
 
 // RunnerHeartbeatReply is the reply to a RunnerHeartbeat.
 type RunnerHeartbeatReply struct {
 	Entry ident.Process `msgpack:"e"`
-	// Peers are the internal addresses of the entry instances that the replying
-	// one knows of, its own included.
-	Peers []string `msgpack:"p,omitempty"`
+	// Members are the entry instances that the replying one knows of, itself
+	// included, and MembersHash is the hash of the list. The list is left out if
+	// the request has the same hash. Incarnations are left out.
+	Members     []Peer `msgpack:"l,omitempty"`
+	MembersHash uint64 `msgpack:"h,omitempty"`
 }
 
 // ConfigExchangeRequest reports an entry instance's configuration version to
-// another entry instance.
+// another entry instance. A receiver that has an older version asks the sender
+// for the configuration.
 type ConfigExchangeRequest struct {
-	// From is the sender's internal address.
-	From    string `msgpack:"f"`
+	From    Peer   `msgpack:"f"`
 	Version uint64 `msgpack:"v"`
-	// Config is the encoded configuration; the sender includes it if it knows that
-	// the receiver has an older version.
-	Config []byte `msgpack:"t,omitempty"`
+	// MembersHash is the hash of the receiver's list of members that the sender
+	// holds.
+	MembersHash uint64 `msgpack:"h,omitempty"`
 }
 
 // ConfigExchangeReply is the reply to a ConfigExchangeRequest.
@@ -168,7 +173,7 @@
 	// Config is the encoded configuration if Version is higher than that of the
 	// request.
 	Config []byte `msgpack:"t,omitempty"`
-	// Peers are the internal addresses of the entry instances that the replying
-	// one knows of, its own included.
-	Peers []string `msgpack:"p,omitempty"`
+	// Members and MembersHash are as in RunnerHeartbeatReply.
+	Members     []Peer `msgpack:"l,omitempty"`
+	MembersHash uint64 `msgpack:"h,omitempty"`
 }
