--- a/internal/decision/ownership/ownership.go
+++ b/internal/decision/ownership/ownership.go
@@ -18,6 +18,12 @@
 // that got no answer submits its job again.
 const Timeout = 700 * time.Millisecond
 
+// LeaseAfterContact bounds the lease of a run by the time since the newest contact with
+// its owner. If the sidecar itself is paused before it can stop the runs of a silent
+// owner, their leases end before a caller submits its job again, also on a worker whose
+// clock is 2% slow.
+const LeaseAfterContact = 1200 * time.Millisecond
+
 // Owner is the state of one entry incarnation at a sidecar. The zero value has no
 // contact yet.
 type Owner struct {
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -31,6 +31,11 @@
 	// DefaultIdleTimeout is the same for a sidecar without such runs, which sends
 	// heartbeats less often.
 	DefaultIdleTimeout = 3500 * time.Millisecond
+	// DefaultIsolationTimeout is the time without a message from any sidecar after which
+	// the Machine abandons its jobs. It is longer than the time between two heartbeats of
+	// an idle sidecar, and shorter than that after which a caller without an answer
+	// submits its job again elsewhere.
+	DefaultIsolationTimeout = 1150 * time.Millisecond
 	// DefaultLeaseTimeout is the time after the last message from a sidecar, or the
 	// last run for it, by which the worker has ended all runs of this entry instance,
 	// even if its sidecar has failed, because their leases have expired.
@@ -45,7 +50,9 @@
 	// worker with and without runs of this entry instance gets no more of them, and
 	// LeaseTimeout the time after which the runs of this entry instance at the worker
 	// have ended.
-	HeartbeatTimeout, IdleTimeout, LeaseTimeout time.Duration
+	// IsolationTimeout is the time without a message from any sidecar after which all
+	// jobs are abandoned.
+	HeartbeatTimeout, IdleTimeout, LeaseTimeout, IsolationTimeout time.Duration
 }
 
 // Action is a request to the caller of the Machine, which does the I/O.
@@ -107,9 +114,11 @@
 	sequence   uint64    // sequence number of the newest batch to any sidecar
 	actions    []Action
 	draining   bool
-	// lastCall is the time of the last Submit or Tick, and nextContactCheck that of the
+	// lastCall is the time of the last call of checkContacts, and nextContactCheck that of the
 	// next check of the times without a message.
 	lastCall, nextContactCheck time.Duration
+	// lastMessage is the time of the last message from any sidecar.
+	lastMessage time.Duration
 }
 
 // New returns a Machine without workers. The caller must not use random
@@ -121,6 +130,9 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
+	if cfg.IsolationTimeout == 0 {
+		cfg.IsolationTimeout = DefaultIsolationTimeout
+	}
 	if cfg.LeaseTimeout == 0 {
 		cfg.LeaseTimeout = DefaultLeaseTimeout
 	}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -67,6 +67,7 @@
 
 // RunsEnded records the ends of runs that a sidecar has reported.
 func (m *Machine) RunsEnded(now time.Duration, sidecar ident.Process, ends []wire.RunEnd) {
+	m.checkContacts(now)
 	w := m.workers[sidecar]
 	if w == nil {
 		return
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -54,7 +54,12 @@
 // older than one already recorded, because after a pause of this process it may
 // read delayed heartbeats in any order.
 func (m *Machine) Heartbeat(now time.Duration, info wire.WorkerInfo, session uint64, load wire.Load) {
+	m.checkContacts(now)
+	m.lastMessage = now
 	id := info.Sidecar.Process
+	if m.replaced(info) {
+		return
+	}
 	w := m.workers[id]
 	if w == nil {
 		w = &worker{session: session, tasks: map[work.RunID]*task{}}
@@ -113,6 +118,8 @@
 
 // SetLoad records a load summary unless a newer one is known.
 func (m *Machine) SetLoad(now time.Duration, sidecar ident.Process, l wire.Load) {
+	m.checkContacts(now)
+	m.lastMessage = now
 	w := m.workers[sidecar]
 	if w == nil {
 		return
@@ -262,8 +269,12 @@
 const contactCheckInterval = 20 * time.Millisecond
 
 // checkContacts stops using workers that are out of contact, and removes workers whose
-// leases have expired. After a pause of this process it stops using all workers: what it
-// has read from them may be older than the pause.
+// leases have expired. It precedes all other work.
+//
+// After a pause of this process, or without a message from any sidecar, the callers may
+// have submitted their jobs again at another entry instance. checkContacts then abandons
+// all jobs before a message can make them run again, and stops using all workers: what
+// this process reads from them may be older than the pause.
 func (m *Machine) checkContacts(now time.Duration) {
 	paused := m.lastCall > 0 && now-m.lastCall > m.cfg.HeartbeatTimeout
 	m.lastCall = now
@@ -271,6 +282,12 @@
 		return
 	}
 	m.nextContactCheck = now + contactCheckInterval
+	cutOff := len(m.workers) > 0 && now-m.lastMessage > m.cfg.IsolationTimeout
+	if paused || cutOff {
+		for len(m.unanswered) > 0 {
+			m.abandon(now, m.unanswered[0], work.ReasonOutOfContact)
+		}
+	}
 	for id, w := range m.workers {
 		if !w.unreachable && (paused || m.outOfContact(now, w)) {
 			m.markUnreachable(now, w)
@@ -315,11 +332,22 @@
 	}
 }
 
+// replaced reports whether a later incarnation of the sidecar is known. A network
+// partition can deliver heartbeats of a process that has ended long before.
+func (m *Machine) replaced(info wire.WorkerInfo) bool {
+	for id, other := range m.workers {
+		if id.Instance == info.Sidecar.Process.Instance && id != info.Sidecar.Process && other.info.FencingToken > info.FencingToken {
+			return true
+		}
+	}
+	return false
+}
+
 // endPredecessors ends the runs of earlier incarnations of a sidecar. The current
 // incarnation has verified that none of them is running.
 func (m *Machine) endPredecessors(now time.Duration, w *worker) {
 	for id, other := range m.workers {
-		if other == w || id.Instance != w.info.Sidecar.Process.Instance {
+		if other == w || id.Instance != w.info.Sidecar.Process.Instance || other.info.FencingToken > w.info.FencingToken {
 			continue
 		}
 		m.loseTasks(now, other, "the sidecar has restarted")
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -238,6 +238,7 @@
 func (r *Runner) workerInfo() wire.WorkerInfo {
 	info := wire.WorkerInfo{Sidecar: r.self}
 	if r.supervisor != nil && !r.workerLeft {
+		info.FencingToken = r.supervisor.fencingToken
 		info.Worker, info.Service, info.Rack, info.Labels = r.report.ID, r.report.Service, r.report.Rack, r.report.Labels
 	}
 	return info
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// leaseLimit returns the latest end of a lease that the contact with the owners that have
+// runs here allows, and whether there is such an owner; mu is held.
+func (r *Runner) leaseLimit() (limit time.Duration, limited bool) {
+	for _, o := range r.owners {
+		if at := o.LastContact() + ownership.LeaseAfterContact; o.Live() && o.busy() && (!limited || at < limit) {
+			limit, limited = at, true
+		}
+	}
+	return limit, limited
+}
+
 // nextOwnerTimeout returns the time after which the first owner with runs here is out of
 // contact, zero if there is no such owner; mu is held.
 func (r *Runner) nextOwnerTimeout() time.Duration {
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -93,9 +93,12 @@
 // recordLeaseRequest records that leases starting now are requested, and returns
 // their end in milliseconds of the worker's clock; mu is held.
 func (s *supervisor) recordLeaseRequest(now time.Duration) int64 {
-	lease := s.runner.cfg.MaxLease - leaseMargin
-	s.leasesExpireAt = max(s.leasesExpireAt, now+lease+leaseExpiryMargin)
-	return (now + s.clockOffset + lease).Milliseconds()
+	end := now + s.runner.cfg.MaxLease - leaseMargin
+	if limit, limited := s.runner.leaseLimit(); limited {
+		end = max(min(end, limit), now)
+	}
+	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
+	return (end + s.clockOffset).Milliseconds()
 }
 
 // setClockOffset computes the clock offset from the worker's clock in a reply. Zero
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -131,6 +131,10 @@
 	Service string   `msgpack:"v,omitempty"`
 	Rack    string   `msgpack:"r,omitempty"`
 	Labels  []string `msgpack:"l,omitempty"`
+	// FencingToken is the token of the sidecar's calls to the worker. The worker
+	// rejects calls with a lower token than it has seen, so a later incarnation of a
+	// sidecar has a higher one.
+	FencingToken int64 `msgpack:"f,omitempty"`
 }
 
 // RunnerHeartbeat is the heartbeat of a sidecar to an entry instance.
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -116,6 +116,7 @@
 	ReasonNoConfig      Reason = "no configuration"
 	ReasonMalformed     Reason = "malformed request"
 	ReasonStopping      Reason = "process stops"
+	ReasonOutOfContact  Reason = "instance was paused or cut off"
 )
 
 // Answer is the final answer to a job.
