placement: contact with sidecars in a file of its own

A move only; the comment of entryClient says which fields the mutex guards, and three tests of the broker share the loop that stood three times.

--- a/internal/broker/sidecarclient_test.go
+++ b/internal/broker/sidecarclient_test.go
@@ -101,6 +101,19 @@
 	return work.Answer{}
 }
 
+// submitUntilCompleted submits a job, again after each other answer, until it is completed.
+func (f *fixture) submitUntilCompleted(id string, session uint64) {
+	f.t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		f.sendHeartbeat(session)
+		if a := f.submit(id, func() uint64 { return session }); a.State == work.Completed {
+			return
+		} else if time.Now().After(end) {
+			f.t.Fatalf("job %s once the sidecar takes batches: %+v", id, a)
+		}
+	}
+}
+
 // carryOut reports to the broker that the runs of a batch are done, and, as a sidecar
 // does, that the runs to stop are unknown.
 func (f *fixture) carryOut(b *wire.RunBatch) {
@@ -142,14 +155,7 @@
 		s.mu.Unlock()
 		return 2
 	})
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		f.sendHeartbeat(2)
-		if a := f.submit("b", func() uint64 { return 2 }); a.State == work.Completed {
-			return
-		} else if time.Now().After(end) {
-			t.Fatalf("job after the sidecar replies again: %+v, want it completed", a)
-		}
-	}
+	f.submitUntilCompleted("b", 2)
 }
 
 // Guards against a job ID for which each new job is refused as already under way.
@@ -172,14 +178,7 @@
 	defer close(hold)
 	f.sendHeartbeat(1)
 	f.submit("a", func() uint64 { return 1 })
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		f.sendHeartbeat(1)
-		if a := f.submit("a", func() uint64 { return 1 }); a.State == work.Completed {
-			return
-		} else if time.Now().After(end) {
-			t.Fatalf("the same ID once the sidecar takes batches: %+v", a)
-		}
-	}
+	f.submitUntilCompleted("a", 1)
 }
 
 // Guards against a job ID for which each new job is refused as already under way. The
@@ -210,12 +209,5 @@
 		t.Fatalf("answer to a job whose run may have started: %+v", a)
 	}
 	answered.Store(true)
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		f.sendHeartbeat(1)
-		if a := f.submit("a", func() uint64 { return 1 }); a.State == work.Completed {
-			return
-		} else if time.Now().After(end) {
-			t.Fatalf("the same ID once the sidecar takes batches: %+v", a)
-		}
-	}
+	f.submitUntilCompleted("a", 1)
 }
--- /dev/null
+++ b/internal/decision/placement/contact.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// SidecarEnded records that a sidecar process has ended. The runs at its worker end
+// when their leases expire or the next process of that sidecar has stopped them.
+func (m *Machine) SidecarEnded(now time.Duration, sidecar ident.Process) {
+	if w := m.workers[sidecar]; w != nil && !w.unreachable {
+		m.markUnreachable(now, w)
+	}
+}
+
+// contactCheckInterval is the time between two checks of all workers for messages that
+// have not come.
+const contactCheckInterval = 20 * time.Millisecond
+
+// checkContacts stops using workers that are out of contact, and removes workers whose
+// leases have expired. It precedes all other work.
+//
+// After a pause of this process, or without a message from any sidecar, the callers may
+// have submitted their jobs again at another entry instance. checkContacts then abandons
+// all jobs before a message can make them run again, and stops using all workers: what
+// this process reads from them may be older than the pause.
+func (m *Machine) checkContacts(now time.Duration) {
+	paused := m.lastCall > 0 && now-m.lastCall > m.cfg.HeartbeatTimeout
+	m.lastCall = now
+	if now < m.nextContactCheck && !paused {
+		return
+	}
+	m.nextContactCheck = now + contactCheckInterval
+	cutOff := len(m.workers) > 0 && now-m.lastMessage > m.cfg.IsolationTimeout
+	if paused || cutOff {
+		for len(m.unanswered) > 0 {
+			m.abandon(now, m.unanswered[0], work.ReasonOutOfContact)
+		}
+	}
+	for id, w := range m.workers {
+		if !w.unreachable && (paused || m.outOfContact(now, w)) {
+			m.markUnreachable(now, w)
+		}
+		if w.unreachable && now > m.leasesEnd(w) {
+			m.loseTasks(now, w, "no heartbeat arrived before the leases expired")
+			m.removeFromPool(w)
+			delete(m.workers, id)
+		}
+	}
+}
+
+// outOfContact reports whether a message from the sidecar of a worker is overdue.
+func (m *Machine) outOfContact(now time.Duration, w *worker) bool {
+	if len(w.tasks) == 0 {
+		return now-w.lastContact > m.cfg.IdleTimeout
+	}
+	return now-max(w.lastContact, w.activeSince) > m.cfg.HeartbeatTimeout
+}
+
+// leasesEnd returns the time by which the runs at a worker have ended if no further
+// message arrives. A batch also proves to the sidecar that this entry instance is alive.
+func (m *Machine) leasesEnd(w *worker) time.Duration {
+	return max(w.lastContact, w.lastRunAt) + m.cfg.LeaseTimeout
+}
+
+// markUnreachable stops using a worker. It abandons each job with a task there
+// whose deadline is too early to run the task again after the leases have expired.
+func (m *Machine) markUnreachable(now time.Duration, w *worker) {
+	w.unreachable = true
+	leasesEnd := m.leasesEnd(w)
+	for _, t := range sortedTasks(w) {
+		j := t.job
+		if j.answered {
+			continue
+		}
+		if leasesEnd+j.minRunTime(t.step) > j.deadline {
+			j.mayHaveRun = true
+			j.stats.LastOutcome, j.stats.LastReason, j.stats.LastWorker = work.Lost, "the worker is unreachable", w.info.Worker
+			m.answer(now, j, work.Answer{State: work.Unfinished, Reason: work.ReasonWorkerLost})
+		}
+	}
+}
+
+// replaced reports whether a later incarnation of the sidecar is known. A network
+// partition can deliver heartbeats of a process that has ended long before.
+func (m *Machine) replaced(info wire.WorkerInfo) bool {
+	for id, other := range m.workers {
+		if id.Instance == info.Sidecar.Process.Instance && id != info.Sidecar.Process && other.info.FencingToken > info.FencingToken {
+			return true
+		}
+	}
+	return false
+}
+
+// endPredecessors ends the runs of earlier incarnations of a sidecar. The current
+// incarnation has verified that none of them is running.
+func (m *Machine) endPredecessors(now time.Duration, w *worker) {
+	for id, other := range m.workers {
+		if other == w || id.Instance != w.info.Sidecar.Process.Instance || other.info.FencingToken > w.info.FencingToken {
+			continue
+		}
+		m.loseTasks(now, other, "the sidecar has restarted")
+		m.removeFromPool(other)
+		delete(m.workers, id)
+	}
+}
+
+// loseTasks ends all runs at a worker with the outcome work.Lost.
+func (m *Machine) loseTasks(now time.Duration, w *worker, reason string) {
+	w.reservations = nil
+	for _, t := range sortedTasks(w) {
+		if t.worker != w {
+			continue // an earlier iteration answered the job and canceled this unsent run
+		}
+		m.endRun(now, t, wire.RunEnd{Run: t.runID(), Outcome: work.Lost, Reason: reason})
+	}
+}
+
+// sortedTasks returns the tasks at a worker in a deterministic order.
+func sortedTasks(w *worker) []*task {
+	list := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		list = append(list, t)
+	}
+	sortTasks(list)
+	return list
+}
+
+// Workers returns the numbers of known and of usable workers.
+func (m *Machine) Workers() (known, usable int) {
+	for _, w := range m.workers {
+		if w.usable() {
+			usable++
+		}
+	}
+	return len(m.workers), usable
+}
+
+// InContact reports whether a sidecar is known and no message from it is overdue.
+func (m *Machine) InContact(now time.Duration, sidecar ident.Process) bool {
+	w := m.workers[sidecar]
+	return w != nil && !w.unreachable && !m.outOfContact(now, w)
+}
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -13,15 +13,14 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// entryClient sends heartbeats to the entry instance at one address. The fields below
-// owner are guarded by Runner.mu, too.
+// entryClient sends heartbeats to the entry instance at one address. Runner.mu guards the
+// fields from owner on.
 type entryClient struct {
 	runner    *Runner
 	address   string
 	rpcClient *rpcnet.Client
 	wakeCh    chan struct{}
-	// owner is the entry incarnation that replied last, nil before the first reply;
-	// guarded by Runner.mu.
+	// owner is the entry incarnation that replied last, nil before the first reply.
 	owner *owner
 	// firstSession is the session that the first heartbeats report. It is higher than
 	// those of an earlier attachment to the same incarnation.
