--- a/internal/broker/members.go
+++ b/internal/broker/members.go
@@ -45,8 +45,8 @@
 	return l.members, l.hash
 }
 
-// maxPeers bounds the number of peers, so that garbage addresses in messages can't use
-// up the memory.
+// maxPeers bounds the number of peers, so that invented addresses in messages can't
+// use up the memory.
 const maxPeers = 2000
 
 // addPeer adds an entry instance unless it is known, is this one, or has no valid
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -27,8 +27,8 @@
 // errOutcomeUnknown means that the sidecar rejected a batch although an earlier
 // transmission may still take effect: one of the same batch that got no reply, or one
 // with the runs that the batch is to stop. The batch is sent again until the sidecar
-// accepts it, Prune empties it because of a newer session or answered jobs,
-// or the sidecar has ended or is out of contact.
+// accepts it, Prune empties it because of a newer session or answered jobs, or the
+// sidecar has ended or is out of contact.
 const errOutcomeUnknown = errors.ConstError("the batch was rejected while an earlier transmission may still take effect")
 
 // sidecarClient sends batches to one sidecar incarnation. It sends them one at a
@@ -190,8 +190,8 @@
 // rpcService is the RPC service that sidecars and peers call.
 type rpcService struct{ broker *Broker }
 
-// rejectMessage logs a message with impossible values, which is answered by the error
-// before it changes anything.
+// rejectMessage logs a message with impossible values and returns the error, with which
+// the message is answered before it changes anything.
 func rejectMessage(from ident.Process, err error) error {
 	event.LogRateLimited(event.RPCFrameRejected, "peer", from.String(), "err", err)
 	return err
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -49,8 +49,7 @@
 	// HeartbeatTimeout and IdleTimeout are the times without a message after which a
 	// worker with and without runs of this entry instance gets no more of them, and
 	// LeaseTimeout the time after which the runs of this entry instance at the worker
-	// have ended.
-	// IsolationTimeout is the time without a message from any sidecar after which all
+	// have ended. IsolationTimeout is the time without a message from any sidecar after which all
 	// jobs are abandoned.
 	HeartbeatTimeout, IdleTimeout, LeaseTimeout, IsolationTimeout time.Duration
 }
@@ -114,8 +113,8 @@
 	sequence   uint64    // sequence number of the newest batch to any sidecar
 	actions    []Action
 	draining   bool
-	// lastCall is the time of the last call of checkContacts, and nextContactCheck that of the
-	// next check of the times without a message.
+	// lastCall is the time of the last call of checkContacts, and nextContactCheck that
+	// of the next check of the times without a message.
 	lastCall, nextContactCheck time.Duration
 	// lastMessage is the time of the last message from any sidecar.
 	lastMessage time.Duration
