occupancy, runner, broker: log each stopped run and each pause

The logs could not tell apart the hypotheses about two runs of one task: a sidecar wrote no line for a run that it stopped for an owner that was lost, nor when the run had certainly ended, and a pause of a process was only visible by its effects.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -238,6 +238,9 @@
 // runMachine calls the machine's Tick, carries out the machine's actions and
 // schedules the next tick; mu is held.
 func (b *Broker) runMachine(now time.Duration) {
+	if paused := now - b.nextTick; b.nextTick > 0 && paused > clock.MinPause {
+		event.LogRateLimited(event.PauseNoticed, "pausedMs", paused.Milliseconds(), "unansweredJobs", b.machine.UnansweredJobs())
+	}
 	next := b.machine.Tick(now)
 	for _, a := range b.machine.Actions() {
 		switch a := a.(type) {
--- a/internal/clock/boot.go
+++ b/internal/clock/boot.go
@@ -6,6 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// MinPause is the lateness of a due step from which on a process counts as paused.
+const MinPause = 300 * time.Millisecond
+
 // SinceBoot returns the time since the machine started. Unlike the monotonic clock
 // of package time it includes the time for which the machine was suspended, so
 // that data from before a suspension has its true age afterwards.
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -89,9 +89,11 @@
 	// that is later.
 	percent      int
 	progressedAt time.Duration
-	// nextStop is when the next stop call is due. stopConfirmed is true if the
-	// worker has confirmed a stop call, and stopConfirmedAt is when it first did.
+	// stopOrderedAt is when the stop was ordered, and nextStop when the next stop call
+	// is due. stopConfirmed is true if the worker has confirmed a stop call, and
+	// stopConfirmedAt is when it first did.
 	nextStop        time.Duration
+	stopOrderedAt   time.Duration
 	stopConfirmed   bool
 	stopConfirmedAt time.Duration
 	// unansweredAt is when the start call ended without an answer. A status that is
@@ -143,12 +145,28 @@
 	End   wire.RunEnd
 }
 
+// StopSettled tells that a run whose stop was ordered is no longer active.
+type StopSettled struct {
+	Run   work.RunID
+	Owner ident.Process
+	// Reason is the reason of the stop, and Outcome how the run ended.
+	Reason  string
+	Outcome work.Outcome
+	// Ran is the time from the start to the stop order, and Settling that from the
+	// order to the end.
+	Ran, Settling time.Duration
+	// Confirmed is true if the worker has confirmed a stop call.
+	Confirmed bool
+}
+
 func (StartRun) action() {}
 
 func (StopRun) action() {}
 
 func (ReportEnd) action() {}
 
+func (StopSettled) action() {}
+
 // New returns a Machine without a worker.
 func New(cfg Config) *Machine {
 	if cfg.StallTimeout == 0 {
--- a/internal/decision/occupancy/occupancy_test.go
+++ b/internal/decision/occupancy/occupancy_test.go
@@ -271,3 +271,19 @@
 		t.Errorf("%d runs reported as not run, want the queued one and that of the second owner", ends)
 	}
 }
+
+// Guards against a stopped run whose end leaves no record.
+func TestStopSettled(t *testing.T) {
+	m := newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("job", 1, 0)})
+	run := takeStarts(m)[0]
+	m.StartAnswered(ms, run, Accepted, "")
+	m.DropOwner(100*ms, owner)
+	m.StopConfirmed(110*ms, run)
+	m.Actions()
+	m.ApplyStatus(150*ms, WorkerStatus{RequestedAt: 120 * ms})
+	want := StopSettled{Run: run, Owner: owner, Reason: "the owner is lost", Outcome: work.Lost, Ran: 100 * ms, Settling: 50 * ms, Confirmed: true}
+	if got := m.Actions(); len(got) != 1 || got[0] != want {
+		t.Errorf("actions %+v, want only %+v", got, want)
+	}
+}
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -48,11 +48,11 @@
 // submitted the job again, so nobody waits for the answer of the earlier owner.
 func (m *Machine) stopOtherOwners(now time.Duration, owner ident.Process, task work.TaskID) bool {
 	found := false
-	// Stop shortens the list.
+	// stop shortens the list.
 	for _, r := range slices.Clone(m.byTask[task]) {
 		if r.owner != owner {
 			found = true
-			m.Stop(now, r.Run)
+			m.stop(now, r, "another owner submitted the task")
 		}
 	}
 	return found
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -20,13 +20,18 @@
 	if r == nil {
 		return false
 	}
+	m.stop(now, r, "stopped by its owner")
+	return true
+}
+
+// stop ends a queued run, and orders the stop of an active one.
+func (m *Machine) stop(now time.Duration, r *run, reason string) {
 	if r.phase == queued {
-		m.endRun(now, r, work.NotRun, "stopped by its owner")
-		return true
+		m.endRun(now, r, work.NotRun, reason)
+		return
 	}
-	m.requestStop(now, r, work.Lost, "stopped by its owner")
+	m.requestStop(now, r, work.Lost, reason)
 	m.load.recordStopped(r, now)
-	return true
 }
 
 // DropOwner stops all runs of an owner that has ended or is out of contact, and
@@ -35,7 +40,7 @@
 	for _, r := range m.runsOf(owner) {
 		dropped = append(dropped, r.Run)
 		r.ownerDropped = true
-		m.Stop(now, r.Run)
+		m.stop(now, r, "the owner is lost")
 	}
 	m.startOrReturnQueued(now)
 	return dropped
@@ -60,7 +65,7 @@
 	if r.phase == stopping {
 		return
 	}
-	r.phase, r.stopOutcome, r.stopReason = stopping, outcome, reason
+	r.phase, r.stopOutcome, r.stopReason, r.stopOrderedAt = stopping, outcome, reason, now
 	m.sendStop(now, r)
 }
 
@@ -89,6 +94,10 @@
 	} else {
 		m.used = m.used.Sub(r.Need)
 	}
+	if r.phase == stopping {
+		m.actions = append(m.actions, StopSettled{Run: r.Run, Owner: r.owner, Reason: r.stopReason, Outcome: outcome,
+			Ran: r.stopOrderedAt - r.startedAt, Settling: now - r.stopOrderedAt, Confirmed: r.stopConfirmed})
+	}
 	if !r.ownerDropped {
 		e := wire.RunEnd{Run: r.Run, Outcome: outcome, Reason: reason}
 		if r.startedAt > 0 {
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -72,9 +72,21 @@
 		Meaning: "A sidecar has detached from an entry instance, because it has chosen others (`no longer chosen`) or because that one has not answered for a minute (`no answer`). It sends no more heartbeats to that instance and takes no more runs from it.",
 		Action:  "If an entry instance that runs is detached because it has not answered, check the network between the two.",
 	}
+	// RunStopped and PauseNoticed date what happened to runs during faults.
+	RunStopped = &Event{
+		Number: 8015, Severity: Info, Name: "run stopped",
+		Meaning: "A run whose stop was ordered is no longer active. `ranMs` is the time from its start to the order, `settlingMs` that from the order to the known end, and `confirmed` tells whether the worker confirmed the stop call.",
+		Action:  "If `settlingMs` is above 300, the worker answered no stop call for that time; look for E8008 of the same worker.",
+	}
+	PauseNoticed = &Event{
+		Number: 8016, Severity: Warning, Name: "pause noticed",
+		Meaning: "The process did nothing for `pausedMs`, although a step was due, because it or its machine was paused or had no processor time.",
+		Action:  "Look for the cause of the pause: the processor share, a suspended machine.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
 	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
+	RunStopped, PauseNoticed,
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -193,6 +193,10 @@
 func (r *Runner) lockAndDropSilentOwners() time.Duration {
 	r.mu.Lock()
 	now := clock.SinceBoot()
+	if paused := now - r.nextTick; r.nextTick > 0 && paused > clock.MinPause {
+		event.LogRateLimited(event.PauseNoticed, "pausedMs", paused.Milliseconds(), "activeRuns", r.machine.NumActive())
+		r.nextTick = 0
+	}
 	r.dropSilentOwners(now)
 	return now
 }
@@ -240,6 +244,10 @@
 		}
 	case occupancy.ReportEnd:
 		r.reportEnd(a)
+	case occupancy.StopSettled:
+		event.LogRateLimited(event.RunStopped, "job", a.Run.Task.Job, "step", a.Run.Task.Step, "task", a.Run.Task.Index, "attempt", a.Run.Attempt,
+			"reason", a.Reason, "outcome", a.Outcome.String(), "ranMs", a.Ran.Milliseconds(), "settlingMs", a.Settling.Milliseconds(),
+			"confirmed", a.Confirmed, "worker", r.report.ID, "owner", a.Owner.String())
 	}
 }
 
