--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -26,13 +26,14 @@
 	// those of an earlier attachment to the same incarnation.
 	firstSession uint64
 	// failingSince is the time since which heartbeats fail, zero if the last one was
-	// answered. retryDelay is the delay before the next one after a failure.
-	failingSince, retryDelay time.Duration
+	// answered. After a failure, the next one is sent at retryAt at the earliest, and
+	// retryDelay is the delay to which retryAt was set.
+	failingSince, retryAt, retryDelay time.Duration
 	// unwanted is true if the sidecar detaches from the entry instance, which is then
 	// told that the worker accepts no runs.
 	unwanted bool
 	// sendNow requests a heartbeat without further delay. lastSentAt is the time of the
-	// last heartbeat, and plannedAt the time until which sendHeartbeats sleeps.
+	// last call of sendHeartbeat, and plannedAt the time until which sendHeartbeats sleeps.
 	sendNow               bool
 	lastSentAt, plannedAt time.Duration
 	// members is the newest list of entry instances from this one, and membersHash its
@@ -74,13 +75,15 @@
 	entryTimeout = time.Minute
 )
 
-// dueAt returns the time of the next heartbeat; mu is held.
+// dueAt returns the time of the next call of sendHeartbeat; mu is held. Unless sendNow is
+// set, it is at least heartbeatInterval after the last call, because not every call moves
+// the times of failures and contacts forward.
 func (c *entryClient) dueAt(now time.Duration) time.Duration {
 	switch {
 	case c.sendNow:
 		return now
 	case c.failingSince > 0:
-		return c.plannedAt
+		return max(c.retryAt, c.lastSentAt+heartbeatInterval)
 	case c.owner == nil || !c.owner.Live():
 		return c.lastSentAt + heartbeatInterval
 	case c.owner.busy():
@@ -187,7 +190,7 @@
 	} else {
 		c.retryDelay = min(c.retryDelay*3/2, maxRetryDelay)
 	}
-	c.plannedAt = now + c.retryDelay
+	c.retryAt = now + c.retryDelay
 	c.runner.updateAttachments(now)
 }
 
