placement: a process of a sidecar that a later one has replaced stays replaced

Callers may see two runs of one task: a heartbeat of an ended sidecar process, held back by a cut, that arrives after those of its successor made the runs of the successor count as lost. Found by looking for the same class elsewhere: the token is the time of day at the start of the process. If that was set back between two starts and the worker has forgotten the higher token (it restarted too), the ended process has the higher one. Once the entry instance has forgotten the ended process, 2 s after its last message, the late heartbeat passes.

An entry instance now keeps the incarnations of each sidecar for 5 minutes: when the worker of one begins to accept runs, the others have ended for good, whatever their tokens. Tokens decide only between processes of which none has replaced the other yet. One entry of 16 bytes a restart.

TestHeartbeatOfEndedProcess: its third case failed before (the run was started again at the ended process); the first two fail with the check of the tokens taken out. E8017 says which heartbeats are ignored; until now they left no line.

--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -48,6 +48,7 @@
 			m.loseTasks(now, w, "no heartbeat arrived before the leases expired")
 			m.removeFromPool(w)
 			delete(m.workers, id)
+			m.forgetIncarnations(now)
 		}
 	}
 }
@@ -84,20 +85,10 @@
 	}
 }
 
-// replaced reports whether a later incarnation of the sidecar is known. A network
-// partition can deliver heartbeats of a process that has ended long before.
-func (m *Machine) replaced(info wire.WorkerInfo) bool {
-	for id, other := range m.workers {
-		if id.Instance == info.Sidecar.Process.Instance && id != info.Sidecar.Process && other.info.FencingToken > info.FencingToken {
-			return true
-		}
-	}
-	return false
-}
-
 // endPredecessors ends the runs of earlier incarnations of a sidecar. The current
 // incarnation has verified that none of them is running.
 func (m *Machine) endPredecessors(now time.Duration, w *worker) {
+	m.endOtherIncarnations(now, w.info.Sidecar.Process)
 	for id, other := range m.workers {
 		if other == w || id.Instance != w.info.Sidecar.Process.Instance || other.info.FencingToken > w.info.FencingToken {
 			continue
--- /dev/null
+++ b/internal/decision/placement/incarnation_test.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// heartbeatOf delivers a heartbeat of one process of sidecar 0.
+func (h *harness) heartbeatOf(incarnation uint64, fencingToken int64, acceptsRuns bool) {
+	i := info(0)
+	i.Sidecar.Process.Incarnation, i.FencingToken = incarnation, fencingToken
+	h.version++
+	room := work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}
+	h.m.Heartbeat(h.now, i, 0, wire.Load{Version: h.version, AppliedSequence: 1 << 30, AcceptsRuns: acceptsRuns, Slowness: 1, Capacity: room, Free: room})
+	h.collect()
+}
+
+// Guards against runs that count as lost, and so start twice, when a heartbeat of the
+// ended process of a sidecar arrives after those of its successor.
+func TestHeartbeatOfEndedProcess(t *testing.T) {
+	tests := []struct {
+		name                 string
+		ended, successor     int64
+		predecessorForgotten bool
+	}{
+		{name: "predecessor known", ended: 100, successor: 200},
+		{name: "predecessor forgotten", ended: 100, successor: 200, predecessorForgotten: true},
+		{name: "time of day set back between the starts", ended: 200, successor: 100, predecessorForgotten: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 0)
+			h.heartbeatOf(1, test.ended, true)
+			if test.predecessorForgotten {
+				for range 300 {
+					h.now += 20 * ms
+					h.m.Tick(h.now)
+				}
+			}
+			h.heartbeatOf(2, test.successor, false)
+			h.heartbeatOf(2, test.successor, true)
+			if _, ok := h.submit(newJobSpec("job", 1, 100*ms)); !ok {
+				t.Fatal("the job was refused")
+			}
+			successor := ident.Process{Instance: "side-0", Incarnation: 2}
+			if runs := h.takeRuns(); len(runs[successor]) != 1 {
+				t.Fatalf("runs %v, want one at the successor", runs)
+			}
+			h.now += 50 * ms
+			h.heartbeatOf(1, test.ended, true)
+			if runs := h.takeRuns(); len(runs) != 0 {
+				t.Errorf("started again: %v", runs)
+			}
+		})
+	}
+}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -102,8 +102,10 @@
 	cfg     Config
 	random  *rand.Rand
 	workers map[ident.Process]*worker
-	pools   map[string]*pool
-	jobs    map[string]*job
+	// incarnations holds the processes of each sidecar, by instance name and incarnation.
+	incarnations map[string]map[uint64]*incarnation
+	pools        map[string]*pool
+	jobs         map[string]*job
 	// calibrations correct the declared run times, by queue.
 	calibrations map[string]*estimate.Calibration
 	// unanswered holds the jobs without an answer, the earliest deadline first.
@@ -135,7 +137,7 @@
 	if cfg.LeaseTimeout == 0 {
 		cfg.LeaseTimeout = DefaultLeaseTimeout
 	}
-	return &Machine{cfg: cfg, random: random, workers: map[ident.Process]*worker{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	return &Machine{cfg: cfg, random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
 }
 
 // pool holds the workers of one service.
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -52,20 +52,25 @@
 // Heartbeat records a heartbeat of a sidecar. A higher session means that none of
 // the runs sent in earlier sessions is still running. Heartbeat ignores a heartbeat
 // older than one already recorded, because after a pause of this process it may
-// read delayed heartbeats in any order.
-func (m *Machine) Heartbeat(now time.Duration, info wire.WorkerInfo, session uint64, load wire.Load) {
+// read delayed heartbeats in any order, and one of a process that a later one of the
+// same sidecar has replaced. It returns the reason if it ignored the heartbeat for its
+// process or session.
+func (m *Machine) Heartbeat(now time.Duration, info wire.WorkerInfo, session uint64, load wire.Load) (ignored string) {
 	m.checkContacts(now)
 	m.lastMessage = now
 	id := info.Sidecar.Process
 	if m.replaced(info) {
-		return
+		return "a later process of the sidecar is known"
 	}
+	m.recordIncarnation(now, id)
 	w := m.workers[id]
 	if w == nil {
 		w = &worker{session: session, tasks: map[work.RunID]*task{}}
 		m.workers[id] = w
-	} else if session < w.session || load.Version <= w.load.Version {
-		return
+	} else if session < w.session {
+		return "a later session of the sidecar is known"
+	} else if load.Version <= w.load.Version {
+		return "" // reports and replies to batches overtake heartbeats all the time
 	}
 	w.lastContact = now
 	w.unreachable = false
@@ -80,6 +85,7 @@
 		m.endPredecessors(now, w)
 	}
 	m.retryWaiting(now)
+	return ""
 }
 
 // setInfo updates the description of a worker and moves it to the pool of its
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -83,10 +83,15 @@
 		Meaning: "The process did nothing for `pausedMs`, although a step was due, because it or its machine was paused or had no processor time.",
 		Action:  "Look for the cause of the pause: the processor share, a suspended machine.",
 	}
+	HeartbeatIgnored = &Event{
+		Number: 8017, Severity: Info, Name: "heartbeat ignored",
+		Meaning: "An entry instance ignored a heartbeat because a later process or session of the sidecar is known.",
+		Action:  "None after a pause or a network interruption; otherwise check that no two sidecars have one instance name.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
 	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
-	RunStopped, PauseNoticed,
+	RunStopped, PauseNoticed, HeartbeatIgnored,
 }
