--- /dev/null
+++ b/internal/runner/lease_test.go
@@ -0,0 +1,113 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// silentWorker answers no call until the sidecar closes its client.
+type silentWorker struct{ closed chan struct{} }
+
+func (w silentWorker) StartRun(context.Context, StartRequest) StartReply {
+	<-w.closed
+	return StartReply{Result: occupancy.Unanswered}
+}
+
+func (w silentWorker) StopRun(context.Context, work.RunID, int64) error {
+	<-w.closed
+	return context.Canceled
+}
+
+func (w silentWorker) PollStatus(context.Context, StatusRequest) (StatusReply, error) {
+	<-w.closed
+	return StatusReply{}, context.Canceled
+}
+
+func (w silentWorker) Close() { close(w.closed) }
+
+// newSilentRunner returns a sidecar whose worker answers no call, so that the test alone
+// decides what the sidecar hears.
+func newSilentRunner(t *testing.T) *Runner {
+	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second, ReportInterval: time.Minute},
+		func(string) WorkerClient { return silentWorker{make(chan struct{})} }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.listener.Close()
+		r.cancel()
+		r.mu.Lock()
+		r.tickTimer.Stop()
+		if r.supervisor != nil {
+			r.supervisor.close()
+		}
+		r.mu.Unlock()
+		r.wg.Wait()
+	})
+	return r
+}
+
+func report(incarnation int64, sequence uint64) Report {
+	return Report{ID: "i-1", Service: "svc", Address: "127.0.0.1:1", Incarnation: incarnation, Sequence: sequence, Capacity: work.Resources{MilliCPU: 4000}}
+}
+
+// newRunnerWithDroppedOwner returns a sidecar with a run of an owner that is dropped at the
+// returned time, the time of its newest contact.
+func newRunnerWithDroppedOwner(t *testing.T, run work.RunID) (r *Runner, droppedAt time.Duration) {
+	r = newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
+	entry := ident.Process{Instance: "entry", Incarnation: 1}
+	o := &owner{Owner: ownership.New(4), runner: r, process: entry, client: &entryClient{runner: r, rpcClient: rpcnet.NewClient(r.Address()), wakeCh: make(chan struct{}, 1)}}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := clock.SinceBoot()
+	o.HeartbeatAnswered(now, now, 4)
+	r.owners[entry] = o
+	r.machine.Submit(now, entry, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
+	r.machine.StartAnswered(now, run, occupancy.Accepted, "")
+	r.dropOwner(now, o, "test", 0)
+	return r, now
+}
+
+// Guards against leases of a dropped owner's run that grow with each status request while
+// the worker leaves the stop calls unanswered: the run goes on beside that of the caller's
+// second submission.
+func TestLeasesOfDroppedOwner(t *testing.T) {
+	r, droppedAt := newRunnerWithDroppedOwner(t, work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	end := time.Duration(r.supervisor.recordLeaseRequest(droppedAt+time.Second))*time.Millisecond - r.supervisor.clockOffset
+	if end > droppedAt+ownership.LeaseAfterContact {
+		t.Errorf("leases end %v after the newest contact with the owner, want at most %v", end-droppedAt, ownership.LeaseAfterContact)
+	}
+}
+
+// Guards against starts whose lease has ended before they reach the worker, and against a
+// worker that stays closed after the dropped owner's run has ended.
+func TestNoStartsWithoutLease(t *testing.T) {
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r, droppedAt := newRunnerWithDroppedOwner(t, run)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := droppedAt + ownership.LeaseAfterContact
+	if r.updateAvailability(now - time.Millisecond); !r.machine.AcceptsRuns() {
+		t.Error("no runs are accepted although they can get a lease")
+	}
+	if r.updateAvailability(now); r.machine.AcceptsRuns() {
+		t.Error("runs are accepted that can't get a lease")
+	}
+	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: now, Ended: []occupancy.EndedRun{{Run: run, Outcome: work.Lost, Reason: "lapsed"}}})
+	if r.updateAvailability(now); !r.machine.AcceptsRuns() {
+		t.Error("no runs are accepted after the dropped owner's run has ended")
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -90,5 +90,7 @@
 // held.
 func (r *Runner) updateAvailability(now time.Duration) {
 	reporting := r.report.ID != "" && r.report.Incarnation == r.statusIncarnation && now-r.reportedAt < maxMissedReports*r.cfg.ReportInterval
-	r.machine.SetWorkerAvailable(now, reporting && r.supervisor != nil && r.supervisor.inContact && r.supervisor.clockOffsetKnown && !r.report.Draining && !r.workerLeft)
+	limit, limited := r.leaseLimit()
+	canLease := !limited || limit > now
+	r.machine.SetWorkerAvailable(now, reporting && canLease && r.supervisor != nil && r.supervisor.inContact && r.supervisor.clockOffsetKnown && !r.report.Draining && !r.workerLeft)
 }
