occupancy: a start that the worker's next process accepted is not reported as lost

What a caller can see: two runs of its task at the same time. A worker may start again under its ID, and then accepts the start calls that are meant for its predecessor. When it is back within less than two status requests, or the sidecar was frozen meanwhile, a start call reaches the new process before the sidecar hears of the restart by a status or a report:

worker exits and starts again under its ID; sidecar sends the start of a run; the new process answers 200; status or report with a new time of birth; SetWorker ends all runs whose start was confirmed, as lost; the owner starts the task on another worker; the run at the new process is listed as unknown and stopped some milliseconds to 80 ms later.

The same holds for a start call that timed out after the restart: it counted as one of the old process, "because its connection is closed".

Cause: endIncarnation took the end of a process for the end of all runs with a confirmed start or without a pending one. Only a run that a status of the old process has listed is certainly a run of that one.

Change: the other runs stay active. The first status of the new process that was requested after the confirmation decides: a run that it lists goes on, one that it does not list is lost. A start without an answer is voided at the new process by a stop call. After two refused connections the runs end at once, as before, if their start calls had returned when the refused connection was requested; a port that is closed proves that this process has exited. A start that may have run at the old process is never reported as not run.

Cost: two flags a run. After a usual crash (port closed for two requests) nothing is later than before. Otherwise runs that no status has listed yet, those of the last 40 ms, end with the first status of the new process.

Evidence: the model test let a restart and its notice happen in one step. Found by reading.

--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -101,6 +101,7 @@
 		owner := ident.Process{Instance: "e"}
 		reported := map[work.RunID]bool{}
 		jobs, incarnation := 0, int64(1)
+		refusedAt := time.Duration(0) // when the port of the newest process that exited was closed
 		checkActions := func() {
 			for _, a := range m.Actions() {
 				switch a := a.(type) {
@@ -127,6 +128,10 @@
 				}
 			}
 		}
+		// The new process may receive calls before the Machine hears of it.
+		noticeRestart := func() {
+			m.SetWorker(now, Worker{ID: "w", Incarnation: incarnation, Capacity: work.Resources{MilliCPU: w.capacity}})
+		}
 		takeCall := func() pendingCall {
 			i := rapid.IntRange(0, len(w.pendingCalls)-1).Draw(t, "call")
 			c := w.pendingCalls[i]
@@ -188,7 +193,13 @@
 					return
 				}
 			},
-			"status": func(*rapid.T) { now++; m.ApplyStatus(now, w.status(now)); now++ },
+			"status": func(*rapid.T) {
+				now++
+				noticeRestart()
+				m.ApplyStatus(now, w.status(now))
+				refusedAt = 0 // an earlier request can't be refused any more
+				now++
+			},
 			"advance": func(t *rapid.T) {
 				now += time.Duration(rapid.Int64Range(1, 600).Draw(t, "ms")) * time.Millisecond
 				m.Tick(now)
@@ -205,10 +216,18 @@
 				// closed.
 				w.pendingCalls = slices.DeleteFunc(w.pendingCalls, func(c pendingCall) bool { return c.reportedUnanswered })
 				incarnation++
+				now++
+				refusedAt = now
+				now++
 				clear(w.running)
 				clear(w.highestAttempt)
 				w.newEnds = nil
-				m.SetWorker(now, Worker{ID: "w", Incarnation: incarnation, Capacity: work.Resources{MilliCPU: w.capacity}})
+			},
+			"report": func(*rapid.T) { noticeRestart() },
+			"refuse": func(*rapid.T) {
+				if refusedAt > 0 {
+					m.WorkerExited(now, refusedAt)
+				}
 			},
 			"drop owner": func(*rapid.T) { m.DropOwner(now, owner) },
 		})
--- /dev/null
+++ b/internal/decision/occupancy/restart_test.go
@@ -0,0 +1,77 @@
+package occupancy
+
+import (
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// reportedEnds returns the ends that the machine has reported since the last call.
+func reportedEnds(m *Machine) (ends []wire.RunEnd) {
+	for _, a := range m.Actions() {
+		if e, ok := a.(ReportEnd); ok {
+			ends = append(ends, e.End)
+		}
+	}
+	return ends
+}
+
+// Guards against a run reported as lost while the next incarnation of the worker, which
+// has kept the ID, executes it: its task would run twice.
+func TestStartAcceptedByNextIncarnation(t *testing.T) {
+	for name, notice := range map[string]func(m *Machine){
+		"seen in a status":   func(m *Machine) { m.SetWorker(3*ms, Worker{Incarnation: 2}) },
+		"seen in a report":   func(m *Machine) { m.SetWorker(3*ms, Worker{ID: "w", Incarnation: 2}) },
+		"after two refusals": func(m *Machine) { m.WorkerExited(3*ms, ms); m.SetWorker(3*ms, Worker{Incarnation: 2}) },
+	} {
+		m := newMachine(4)
+		m.Submit(0, owner, []wire.RunRequest{request("a", 1, 0)})
+		run := takeStarts(m)[0]
+		m.StartAnswered(2*ms, run, Accepted, "")
+		notice(m)
+		if ends := reportedEnds(m); len(ends) > 0 {
+			t.Errorf("%s: %v reported although the next incarnation may execute it", name, ends)
+		}
+		m.ApplyStatus(5*ms, WorkerStatus{RequestedAt: 4 * ms, Running: []Progress{{Run: run, Percent: 10}}})
+		m.ApplyStatus(7*ms, WorkerStatus{RequestedAt: 6 * ms, Ended: []EndedRun{{Run: run, Outcome: work.Done}}})
+		if ends := reportedEnds(m); len(ends) != 1 || ends[0].Outcome != work.Done {
+			t.Errorf("%s: ends %v, want one that is done", name, ends)
+		}
+	}
+}
+
+// Guards against runs of a worker process that has exited which occupy capacity, or are
+// not reported as lost, after the next incarnation has shown that it does not execute them.
+func TestRunsOfExitedIncarnation(t *testing.T) {
+	m := newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("listed", 1, 0), request("answered", 1, 0)})
+	starts := takeStarts(m)
+	m.StartAnswered(ms, starts[0], Accepted, "")
+	m.ApplyStatus(3*ms, WorkerStatus{RequestedAt: 2 * ms, Running: []Progress{{Run: starts[0]}}})
+	m.StartAnswered(4*ms, starts[1], Accepted, "")
+	m.SetWorker(5*ms, Worker{ID: "w", Incarnation: 2})
+	if ends := reportedEnds(m); len(ends) != 1 || ends[0].Run != starts[0] || ends[0].Outcome != work.Lost {
+		t.Errorf("ends %v, want that of the listed run", ends)
+	}
+	m.ApplyStatus(6*ms, WorkerStatus{RequestedAt: 3 * ms})
+	if ends := reportedEnds(m); len(ends) > 0 {
+		t.Errorf("ends %v from a status that was requested before the start was confirmed", ends)
+	}
+	m.ApplyStatus(8*ms, WorkerStatus{RequestedAt: 7 * ms})
+	if ends := reportedEnds(m); len(ends) != 1 || ends[0].Run != starts[1] || ends[0].Outcome != work.Lost || m.Used().MilliCPU != 0 {
+		t.Errorf("ends %v, want that of the other run; %+v used", ends, m.Used())
+	}
+}
+
+// Guards against the loss of a second when a worker process exits: the runs that it
+// accepted before its port was found closed have ended with it.
+func TestRunsEndWithProcess(t *testing.T) {
+	m := newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("a", 1, 0)})
+	m.StartAnswered(ms, takeStarts(m)[0], Accepted, "")
+	m.WorkerExited(4*ms, 2*ms)
+	if ends := reportedEnds(m); len(ends) != 1 || ends[0].Outcome != work.Lost {
+		t.Errorf("ends %v, want one that is lost", ends)
+	}
+}
--- a/internal/decision/occupancy/status.go
+++ b/internal/decision/occupancy/status.go
@@ -83,6 +83,7 @@
 		}
 		return
 	}
+	r.listed = true
 	if r.confirmedAt == 0 {
 		r.confirmedAt, r.progressedAt = now, now
 	}
@@ -104,7 +105,11 @@
 		switch r.phase {
 		case unconfirmed:
 			// The start call may still take effect. The stop call prevents that.
-			if requestedAt > r.unansweredAt {
+			switch {
+			case requestedAt <= r.unansweredAt:
+			case r.restarted:
+				m.requestStop(now, r, work.Lost, "the worker restarted")
+			default:
 				m.requestStop(now, r, work.NotRun, "the worker did not answer the start call")
 			}
 		case stopping:
@@ -114,7 +119,11 @@
 		case running:
 			// This process has not received the end of the run, or the worker has no
 			// record of the run.
-			if requestedAt > r.confirmedAt {
+			switch {
+			case requestedAt <= r.confirmedAt:
+			case r.restarted && !r.listed:
+				m.endRun(now, r, work.Lost, "the worker restarted")
+			default:
 				m.requestStop(now, r, work.Lost, "the worker does not list the run")
 			}
 		}
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -16,16 +16,20 @@
 		}
 		return
 	}
-	m.endIncarnation(now, "the worker restarted")
+	m.endIncarnation(now, "the worker restarted", func(r *run) bool { return r.listed })
 	m.worker = w
 	m.statusKnown = false
 	clear(m.unknownRuns)
 	m.health = health{}
 }
 
-// WorkerExited records that the worker process has exited and executes no run.
-func (m *Machine) WorkerExited(now time.Duration) {
-	m.endIncarnation(now, "the worker exited")
+// WorkerExited records that the worker process has exited: a connection to it that was
+// requested at the time refusedAt was refused. The next process may have received a start
+// call that returned after that.
+func (m *Machine) WorkerExited(now, refusedAt time.Duration) {
+	m.endIncarnation(now, "the worker exited", func(r *run) bool {
+		return r.listed || !r.startPending && max(r.confirmedAt, r.unansweredAt) <= refusedAt
+	})
 	m.statusKnown = false
 	clear(m.unknownRuns)
 }
@@ -42,17 +46,20 @@
 	clear(m.unknownRuns)
 }
 
-// endIncarnation ends the runs of a worker process that has exited. A start call
-// that has not returned may reach the next worker process, so its run stays active
-// at least until the call returns. A start call that has timed out can't reach the
-// next process, because its connection is closed.
-func (m *Machine) endIncarnation(now time.Duration, reason string) {
+// endIncarnation ends the runs of a worker process that has exited. A start call that was
+// in flight may have reached the next worker process, which can have the same ID, so the
+// other runs stay active until a status shows whether the next process executes them.
+func (m *Machine) endIncarnation(now time.Duration, reason string, ended func(r *run) bool) {
 	for _, r := range m.activeRuns() {
-		if r.confirmedAt > 0 || !r.startPending {
+		if ended(r) {
 			m.endRun(now, r, work.Lost, reason)
 			continue
 		}
-		r.stopConfirmed = false // the next worker process has not received the stop call
+		r.restarted = true
+		r.stopConfirmed = false // the next worker process may not have received the stop call
+		if r.stopOutcome == work.NotRun {
+			r.stopOutcome = work.Lost // the process that has exited may have executed the run
+		}
 	}
 }
 
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -194,7 +194,7 @@
 		} else {
 			refusals = 0
 		}
-		s.handleStatusFailure(err, failures, refusals)
+		s.handleStatusFailure(requestedAt, err, failures, refusals)
 		if !errors.Is(err, context.DeadlineExceeded) {
 			clock.Sleep(s.ctx, statusRetryDelay)
 		}
@@ -252,10 +252,10 @@
 	s.runner.runMachineAndUnlock(now)
 }
 
-// handleStatusFailure handles a status request that has failed. failures is the
-// number of failed requests in a row, and refusals the number of refused
+// handleStatusFailure handles a status request, sent at requestedAt, that has failed.
+// failures is the number of failed requests in a row, and refusals the number of refused
 // connections in a row.
-func (s *supervisor) handleStatusFailure(err error, failures, refusals int) {
+func (s *supervisor) handleStatusFailure(requestedAt time.Duration, err error, failures, refusals int) {
 	const minRefusals = 2 // refused connections in a row that prove that the worker process has exited
 	r := s.runner
 	now := r.lockAndDropSilentOwners()
@@ -266,7 +266,7 @@
 	event.LogRateLimited(event.OrderUnanswered, "order", "look", "worker", r.report.ID, "failures", failures, "err", err)
 	if refusals >= minRefusals {
 		s.inContact = false
-		r.machine.WorkerExited(now)
+		r.machine.WorkerExited(now, requestedAt)
 	}
 	if now-s.lastStatusAt > workerTimeout {
 		s.inContact = false
