occupancy: a run that the worker has executed is never reported as not run

What a caller can see: a refusal ("not run", 429) of a job one of whose tasks has run. A start call gets no answer in 40 ms, a status does not list the run, and the sidecar sends a stop call. If the start call takes effect before the stop call, the worker executes the run and then stops it, and lists it as running or its end as stopped. The machine still reported "not run", the outcome that it had planned when it ordered the stop.

Change: a run that a status has listed, or whose end it has listed, ends as lost instead.

Found by reading.

--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -28,7 +28,8 @@
 type modelWorker struct {
 	capacity       int64
 	need           map[work.RunID]int64
-	running        map[work.RunID]int // percent
+	running        map[work.RunID]int  // percent
+	started        map[work.RunID]bool // by any process of the worker
 	highestAttempt map[work.TaskID]int
 	newEnds        []EndedRun
 	pendingCalls   []pendingCall
@@ -59,7 +60,7 @@
 	if seen && id.Attempt <= highest {
 		return Outdated
 	}
-	w.running[id] = 0
+	w.running[id], w.started[id] = 0, true
 	return Accepted
 }
 
@@ -93,7 +94,7 @@
 func TestAgainstModelWorker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Duration(0)
-		w := &modelWorker{capacity: 10, need: map[work.RunID]int64{}, running: map[work.RunID]int{}, highestAttempt: map[work.TaskID]int{}}
+		w := &modelWorker{capacity: 10, need: map[work.RunID]int64{}, running: map[work.RunID]int{}, started: map[work.RunID]bool{}, highestAttempt: map[work.TaskID]int{}}
 		m := New(Config{})
 		m.SetWorker(now, Worker{ID: "w", Incarnation: 1, Capacity: work.Resources{MilliCPU: w.capacity}})
 		m.SetWorkerAvailable(now, true)
@@ -117,6 +118,9 @@
 					if _, ok := w.running[a.End.Run]; ok {
 						t.Fatalf("%v reported as %v while the worker executes it", a.End.Run, a.End.Outcome)
 					}
+					if w.started[a.End.Run] && a.End.Outcome == work.NotRun {
+						t.Fatalf("%v reported as not run after the worker has started it", a.End.Run)
+					}
 				}
 			}
 			if w.used() > w.capacity {
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -84,8 +84,8 @@
 	confirmedAt time.Duration
 	// startPending is true while the start call has neither returned nor timed out.
 	startPending bool
-	// listed is true once a status has listed the run. restarted is true if the worker
-	// process has changed before that: either process may have received the start call.
+	// listed is true once a status has listed the run or its end. restarted is true if the
+	// worker process has changed before that: either process may have received the start call.
 	listed, restarted bool
 	// percent is the highest progress that the worker has reported. progressedAt is
 	// when percent last increased, or when the start was ordered or confirmed if
--- a/internal/decision/occupancy/restart_test.go
+++ b/internal/decision/occupancy/restart_test.go
@@ -75,3 +75,28 @@
 		t.Errorf("ends %v, want one that is lost", ends)
 	}
 }
+
+// Guards against a run reported as not run, so that its job may be refused, although the
+// worker has executed it before the stop call.
+func TestStoppedRunThatHasRun(t *testing.T) {
+	for name, show := range map[string]func(m *Machine, run work.RunID){
+		"listed": func(m *Machine, run work.RunID) {
+			m.ApplyStatus(50*ms, WorkerStatus{RequestedAt: 45 * ms, Running: []Progress{{Run: run}}})
+			m.StopConfirmed(51*ms, run)
+			m.ApplyStatus(60*ms, WorkerStatus{RequestedAt: 52 * ms})
+		},
+		"ended": func(m *Machine, run work.RunID) {
+			m.ApplyStatus(50*ms, WorkerStatus{RequestedAt: 45 * ms, Ended: []EndedRun{{Run: run, Outcome: work.Lost, Reason: "stopped"}}})
+		},
+	} {
+		m := newMachine(4)
+		m.Submit(0, owner, []wire.RunRequest{request("a", 1, 0)})
+		run := takeStarts(m)[0]
+		m.StartAnswered(40*ms, run, Unanswered, "")
+		m.ApplyStatus(43*ms, WorkerStatus{RequestedAt: 41 * ms})
+		show(m, run)
+		if ends := reportedEnds(m); len(ends) != 1 || ends[0].Outcome != work.Lost {
+			t.Errorf("%s: ends %v, want one that is lost", name, ends)
+		}
+	}
+}
--- a/internal/decision/occupancy/status.go
+++ b/internal/decision/occupancy/status.go
@@ -59,6 +59,7 @@
 	if _, stillListed := listed[e.Run]; stillListed {
 		return
 	}
+	r.listed = true
 	outcome, reason := e.Outcome, e.Reason
 	switch outcome {
 	case work.Done:
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -77,8 +77,12 @@
 	}
 }
 
-// endRun removes a run, frees its capacity and reports the end to the owner.
+// endRun removes a run, frees its capacity and reports the end to the owner. A run that a
+// status has listed is not reported as not run.
 func (m *Machine) endRun(now time.Duration, r *run, outcome work.Outcome, reason string) {
+	if r.listed && outcome == work.NotRun {
+		outcome = work.Lost
+	}
 	delete(m.runs, r.Run)
 	if m.runsOfOwner[r.owner]--; m.runsOfOwner[r.owner] == 0 {
 		delete(m.runsOfOwner, r.owner)
