runner: the end numbers of an exited worker process do not acknowledge ends of the next one

What a caller can see: tasks that are run again although they were done, for a while after a worker has started again. Not two runs at a time: the lost run has ended.

Interleaving: the status reply of the old process, with end number 57, is still unread (the sidecar was frozen, or its threads ran in another order) when the report of the next process is handled, which sets the newest seen end to 0. The old reply then sets it to 57 again, and since the report has named the new incarnation already, the first status of the new process does not reset it. Each status request to the new process acknowledges its ends 1 to 57 before they were listed; the worker forgets them, and the runs are taken for lost.

Change: end numbers in the status of a process older than the newest report are not taken.

Found by reading.

--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -232,7 +232,9 @@
 	s.setClockOffset(now, reply.ClockMs)
 	s.inContact = true
 	s.lastStatusAt = now
-	if reply.NewestEnd > s.lastSeenEnd {
+	// Each worker process numbers its ends from 1.
+	ofExited := reply.Incarnation != 0 && reply.Incarnation < r.report.Incarnation
+	if reply.NewestEnd > s.lastSeenEnd && !ofExited {
 		s.lastSeenEnd = reply.NewestEnd
 		s.unackedEnds = true
 	}
