--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -28,7 +28,8 @@
 type modelWorker struct {
 	capacity       int64
 	need           map[work.RunID]int64
-	running        map[work.RunID]int // percent
+	running        map[work.RunID]int  // percent
+	started        map[work.RunID]bool // by any process of the worker
 	highestAttempt map[work.TaskID]int
 	newEnds        []EndedRun
 	pendingCalls   []pendingCall
@@ -59,7 +60,7 @@
 	if seen && id.Attempt <= highest {
 		return Outdated
 	}
-	w.running[id] = 0
+	w.running[id], w.started[id] = 0, true
 	return Accepted
 }
 
@@ -93,7 +94,7 @@
 func TestAgainstModelWorker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Duration(0)
-		w := &modelWorker{capacity: 10, need: map[work.RunID]int64{}, running: map[work.RunID]int{}, highestAttempt: map[work.TaskID]int{}}
+		w := &modelWorker{capacity: 10, need: map[work.RunID]int64{}, running: map[work.RunID]int{}, started: map[work.RunID]bool{}, highestAttempt: map[work.TaskID]int{}}
 		m := New(Config{})
 		m.SetWorker(now, Worker{ID: "w", Incarnation: 1, Capacity: work.Resources{MilliCPU: w.capacity}})
 		m.SetWorkerAvailable(now, true)
@@ -101,6 +102,7 @@
 		owner := ident.Process{Instance: "e"}
 		reported := map[work.RunID]bool{}
 		jobs, incarnation := 0, int64(1)
+		refusedAt := time.Duration(0) // when the port of the newest process that exited was closed
 		checkActions := func() {
 			for _, a := range m.Actions() {
 				switch a := a.(type) {
@@ -116,6 +118,9 @@
 					if _, ok := w.running[a.End.Run]; ok {
 						t.Fatalf("%v reported as %v while the worker executes it", a.End.Run, a.End.Outcome)
 					}
+					if w.started[a.End.Run] && a.End.Outcome == work.NotRun {
+						t.Fatalf("%v reported as not run after the worker has started it", a.End.Run)
+					}
 				}
 			}
 			if w.used() > w.capacity {
@@ -127,6 +132,10 @@
 				}
 			}
 		}
+		// The new process may receive calls before the Machine hears of it.
+		noticeRestart := func() {
+			m.SetWorker(now, Worker{ID: "w", Incarnation: incarnation, Capacity: work.Resources{MilliCPU: w.capacity}})
+		}
 		takeCall := func() pendingCall {
 			i := rapid.IntRange(0, len(w.pendingCalls)-1).Draw(t, "call")
 			c := w.pendingCalls[i]
@@ -188,7 +197,13 @@
 					return
 				}
 			},
-			"status": func(*rapid.T) { now++; m.ApplyStatus(now, w.status(now)); now++ },
+			"status": func(*rapid.T) {
+				now++
+				noticeRestart()
+				m.ApplyStatus(now, w.status(now))
+				refusedAt = 0 // an earlier request can't be refused any more
+				now++
+			},
 			"advance": func(t *rapid.T) {
 				now += time.Duration(rapid.Int64Range(1, 600).Draw(t, "ms")) * time.Millisecond
 				m.Tick(now)
@@ -205,10 +220,18 @@
 				// closed.
 				w.pendingCalls = slices.DeleteFunc(w.pendingCalls, func(c pendingCall) bool { return c.reportedUnanswered })
 				incarnation++
+				now++
+				refusedAt = now
+				now++
 				clear(w.running)
 				clear(w.highestAttempt)
 				w.newEnds = nil
-				m.SetWorker(now, Worker{ID: "w", Incarnation: incarnation, Capacity: work.Resources{MilliCPU: w.capacity}})
+			},
+			"report": func(*rapid.T) { noticeRestart() },
+			"refuse": func(*rapid.T) {
+				if refusedAt > 0 {
+					m.WorkerExited(now, refusedAt)
+				}
 			},
 			"drop owner": func(*rapid.T) { m.DropOwner(now, owner) },
 		})
--- a/internal/decision/occupancy/status.go
+++ b/internal/decision/occupancy/status.go
@@ -59,6 +59,7 @@
 	if _, stillListed := listed[e.Run]; stillListed {
 		return
 	}
+	r.listed = true
 	outcome, reason := e.Outcome, e.Reason
 	switch outcome {
 	case work.Done:
@@ -83,6 +84,7 @@
 		}
 		return
 	}
+	r.listed = true
 	if r.confirmedAt == 0 {
 		r.confirmedAt, r.progressedAt = now, now
 	}
@@ -104,7 +106,11 @@
 		switch r.phase {
 		case unconfirmed:
 			// The start call may still take effect. The stop call prevents that.
-			if requestedAt > r.unansweredAt {
+			switch {
+			case requestedAt <= r.unansweredAt:
+			case r.restarted:
+				m.requestStop(now, r, work.Lost, "the worker restarted")
+			default:
 				m.requestStop(now, r, work.NotRun, "the worker did not answer the start call")
 			}
 		case stopping:
@@ -114,7 +120,11 @@
 		case running:
 			// This process has not received the end of the run, or the worker has no
 			// record of the run.
-			if requestedAt > r.confirmedAt {
+			switch {
+			case requestedAt <= r.confirmedAt:
+			case r.restarted && !r.listed:
+				m.endRun(now, r, work.Lost, "the worker restarted")
+			default:
 				m.requestStop(now, r, work.Lost, "the worker does not list the run")
 			}
 		}
