rpcnet: losses of connections are reported every 250 ms at most

A process that calls an address at which each connection is accepted and closed, by an entry instance without file descriptors or by a foreign server, connects again without a pause.

Cause: both use Client.OnDisconnect to call the peer again at once, because a refused connection shows that the process has ended. A call that opens a connection which is closed again brings the next OnDisconnect, and in the sidecar that request precedes the delay after failures.

Change: the client calls OnDisconnect at most once per 250 ms, the heartbeat interval of a busy sidecar. A first loss is reported at once as before; a loss within the interval is reported at its end, so none is forgotten. No cost per start or worker beyond two fields per client.

Test: TestOnDisconnectInterval, virtual time, a loss each millisecond for 500 ms. It failed before with 500 reports, want them at 0, 250 and 500 ms.

--- a/internal/rpcnet/client.go
+++ b/internal/rpcnet/client.go
@@ -58,8 +58,9 @@
 	addr string
 	dial DialFunc
 	// OnDisconnect, if not nil, is called when a connection ends while the client
-	// is not closed, except after a response body that can't be decoded. It must be
-	// set before the first call and must not block.
+	// is not closed, except after a response body that can't be decoded. Two calls are
+	// at least minDisconnectInterval apart, and one call may stand for several
+	// connections. It must be set before the first call and must not block.
 	OnDisconnect func()
 	// sent and received count bytes on the wire.
 	sent, received atomic.Int64
@@ -68,6 +69,10 @@
 	rpcClient *rpc.Client
 	codec     *clientCodec // the codec of rpcClient
 	closed    bool
+	// disconnectReportedAt is the time of the last call of OnDisconnect, and
+	// disconnectPending is true if the next one is due.
+	disconnectReportedAt time.Time
+	disconnectPending    bool
 
 	dialMu sync.Mutex // serializes dials
 }
@@ -147,17 +152,39 @@
 	return cl, nil
 }
 
+// minDisconnectInterval is the least time between two calls of OnDisconnect. Callers use
+// OnDisconnect to call the peer again at once, and a peer that closes each connection
+// would be called without a pause.
+const minDisconnectInterval = 250 * time.Millisecond
+
 // connectionLost handles the end of the connection of codec. The next call opens
 // a new connection.
 func (c *Client) connectionLost(codec *clientCodec) {
 	c.mu.Lock()
-	closed := c.closed
 	if c.codec == codec {
 		c.rpcClient, c.codec = nil, nil
 	}
+	report := !c.closed && c.OnDisconnect != nil && !c.disconnectPending
+	wait := time.Until(c.disconnectReportedAt.Add(minDisconnectInterval))
+	c.disconnectPending = c.disconnectPending || report
 	c.mu.Unlock()
 	codec.Close()
-	if !closed && c.OnDisconnect != nil {
+	switch {
+	case !report:
+	case wait > 0:
+		time.AfterFunc(wait, c.reportDisconnect)
+	default:
+		c.reportDisconnect()
+	}
+}
+
+// reportDisconnect calls OnDisconnect unless the client is closed.
+func (c *Client) reportDisconnect() {
+	c.mu.Lock()
+	closed := c.closed
+	c.disconnectReportedAt, c.disconnectPending = time.Now(), false
+	c.mu.Unlock()
+	if !closed {
 		c.OnDisconnect()
 	}
 }
--- a/internal/rpcnet/rpcnet_test.go
+++ b/internal/rpcnet/rpcnet_test.go
@@ -5,8 +5,11 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -178,6 +181,29 @@
 	d.Close()
 }
 
+// TestOnDisconnectInterval guards against a caller that connects without a pause to a peer that closes each connection.
+func TestOnDisconnectInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reported := make(chan time.Duration, 1000)
+		c := NewClient("")
+		start := time.Now()
+		c.OnDisconnect = func() { reported <- time.Since(start) }
+		for range 2 * minDisconnectInterval / time.Millisecond {
+			conn, _ := net.Pipe()
+			c.connectionLost(&clientCodec{framer: newFramer(conn)})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * minDisconnectInterval)
+		var reports []time.Duration
+		for len(reported) > 0 {
+			reports = append(reports, <-reported)
+		}
+		if want := []time.Duration{0, minDisconnectInterval, 2 * minDisconnectInterval}; !slices.Equal(reports, want) {
+			t.Errorf("disconnects reported at %v, want at %v", reports, want)
+		}
+	})
+}
+
 // TestCallToClosedPort guards against a refused connection that is reported as a
 // call that may have reached the peer.
 func TestCallToClosedPort(t *testing.T) {
