occupancy: the model test checks that the next tick is in the future

They were ruled out by reading; the model test, which also lets up to 600 ms pass between two ticks, now checks them after each tick. It found nothing. That the check can fail was tried with the lower bound of the next stop call taken out of Tick: "the next tick after 80ms is due at 80ms" after 32 cases.

--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -86,8 +86,8 @@
 	return ids
 }
 
-// Guards against starts that exceed the worker's capacity, and against a reported end
-// of a run that is still executing or starts later. Start calls are answered or
+// Guards against starts that exceed the worker's capacity, against a reported end of a
+// run that is still executing or starts later, and against ticks without a delay. Start calls are answered or
 // unanswered, and are executed late or never; runs are stopped, leases expire, and
 // the worker restarts.
 func TestAgainstModelWorker(t *testing.T) {
@@ -191,7 +191,9 @@
 			"status": func(*rapid.T) { now++; m.ApplyStatus(now, w.status(now)); now++ },
 			"advance": func(t *rapid.T) {
 				now += time.Duration(rapid.Int64Range(1, 600).Draw(t, "ms")) * time.Millisecond
-				m.Tick(now)
+				if next := m.Tick(now); next != 0 && next <= now {
+					t.Fatalf("the next tick after %v is due at %v", now, next)
+				}
 			},
 			"expire leases": func(*rapid.T) {
 				for _, id := range sortedIDs(w.running) {
