occupancy: a second owner's run is rejected only when the first owner's run has ended

What a caller can see: two runs of its task at the same time. The caller has submitted its job again at another entry instance, and that one sends a run of a task to the worker on which the run of the first one is still at work. The sidecar orders the stop of the first run and rejected the second one in the same moment. The second entry instance then starts the task on another worker within milliseconds, while the stop takes up to 50 ms, and 80 ms more for each stop call that the worker leaves unanswered.

Change: the rejection is reported when the last active run of the task has ended. A run that has only been queued ends at once, as before.

Cost: a list that is empty in all other cases.

TestSecondOwner required the rejection at once, which is the fault; it now requires that there is none before the first run has ended, and one then. TestOtherOwnerWithSeveralRuns checks the order of the ends in place of their number.

Not changed: the first owner, if it is alive and does not know that its caller has left, is told that its run is lost and starts the task elsewhere.

--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -103,6 +103,8 @@
 	unansweredAt time.Duration
 	// sequence is the number of the run in the order of submission.
 	sequence uint64
+	// rejections are the rejected runs of other owners for the same task.
+	rejections []ReportEnd
 }
 
 // Machine is the state machine of one sidecar. Its caller is the runtime, which
--- a/internal/decision/occupancy/occupancy_test.go
+++ b/internal/decision/occupancy/occupancy_test.go
@@ -213,19 +213,28 @@
 	m.StartAnswered(ms, id, Accepted, "")
 	other := ident.Process{Instance: "other"}
 	m.Submit(2*ms, other, []wire.RunRequest{request("a", 1, 0)})
-	var stopped, rejected bool
-	for _, a := range m.Actions() {
-		switch a := a.(type) {
-		case StartRun:
-			t.Error("the second run starts while the first may be executing")
-		case StopRun:
-			stopped = true
-		case ReportEnd:
-			rejected = a.Owner == other && a.End.Outcome == work.NotRun
+	stopped, rejected := false, false
+	check := func() {
+		for _, a := range m.Actions() {
+			switch a := a.(type) {
+			case StartRun:
+				t.Error("the second run starts while the first may be executing")
+			case StopRun:
+				stopped = true
+			case ReportEnd:
+				rejected = rejected || a.Owner == other && a.End.Outcome == work.NotRun
+			}
 		}
 	}
-	if !stopped || !rejected {
-		t.Errorf("first run stopped: %v, second run rejected: %v, want both", stopped, rejected)
+	check()
+	m.StopConfirmed(3*ms, id)
+	m.ApplyStatus(5*ms, WorkerStatus{RequestedAt: 4 * ms, Running: []Progress{{Run: id}}})
+	if check(); !stopped || rejected {
+		t.Errorf("first run stopped: %v, second run rejected: %v before the first has ended, so that its owner starts it elsewhere", stopped, rejected)
+	}
+	m.ApplyStatus(7*ms, WorkerStatus{RequestedAt: 6 * ms, Ended: []EndedRun{{Run: id, Outcome: work.Lost}}})
+	if check(); !rejected {
+		t.Error("the second run is not rejected after the first has ended")
 	}
 }
 
@@ -261,13 +270,13 @@
 	if m.HasRunsOf(owner) {
 		t.Error("a second owner's run is accepted while runs of the first one are being stopped")
 	}
-	ends := 0
-	for _, a := range m.Actions() {
-		if e, ok := a.(ReportEnd); ok && e.End.Outcome == work.NotRun {
-			ends++
-		}
+	if ends := reportedEnds(m); len(ends) != 1 || ends[0].Run != queued.Run || ends[0].Outcome != work.NotRun {
+		t.Errorf("ends %v, want the queued run as not run", ends)
 	}
-	if ends != 2 {
-		t.Errorf("%d runs reported as not run, want the queued one and that of the second owner", ends)
+	m.StartAnswered(ms, running.Run, Accepted, "")
+	m.StopConfirmed(ms, running.Run)
+	m.ApplyStatus(3*ms, WorkerStatus{RequestedAt: 2 * ms})
+	if ends := reportedEnds(m); len(ends) != 2 || ends[1].Run != again.Run || ends[1].Outcome != work.NotRun {
+		t.Errorf("ends %v, want that of the running one and then that of the second owner as not run", ends)
 	}
 }
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		if m.stopOtherOwners(now, owner, q.Run.Task) {
-			m.actions = append(m.actions, ReportEnd{Owner: owner, End: wire.RunEnd{
+			m.rejectSecondOwner(ReportEnd{Owner: owner, End: wire.RunEnd{
 				Run: q.Run, Outcome: work.NotRun, Reason: "another owner's run of the task is being stopped"}})
 			continue
 		}
@@ -58,6 +58,17 @@
 	return found
 }
 
+// rejectSecondOwner reports the rejection of a run when the last active run of its task has
+// ended, because the owner starts the task elsewhere then.
+func (m *Machine) rejectSecondOwner(rejection ReportEnd) {
+	if active := m.byTask[rejection.End.Run.Task]; len(active) > 0 {
+		last := active[len(active)-1]
+		last.rejections = append(last.rejections, rejection)
+		return
+	}
+	m.actions = append(m.actions, rejection)
+}
+
 // startQueued starts queued runs in order while the worker has enough free
 // capacity. A run that does not fit blocks the runs behind it, so that small runs
 // don't starve large ones; if it has NoWait, it is returned to its owner instead.
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -100,6 +100,9 @@
 		}
 		m.actions = append(m.actions, ReportEnd{Owner: r.owner, End: e})
 	}
+	for _, rejection := range r.rejections {
+		m.rejectSecondOwner(rejection)
+	}
 }
 
 func (m *Machine) removeFromTask(r *run) {
