queues: watches of the configuration begin at least 50 ms apart

The loop that watches the operators' key had no delay of its own: it relied on the store to hold each watch for its waiting time. A store that ends watches at once without an error, or a waiting time of zero from the settings, makes each entry instance send one watch after the other. The error path was not affected: it pauses with jitter.

Change: the next watch begins at the earliest minRetryDelay (50 ms) after the begin of the last one, and the loop ends with its context. A change that follows another one within 50 ms comes into force up to 50 ms later; a version has 2 s for that. At most 20 watches a second and entry instance.

Test: TestWatchesThatEndAtOnce, virtual time. It failed before with 1001 watches in a second (the bound of the test's source), want at most 21.

--- a/internal/queues/controller.go
+++ b/internal/queues/controller.go
@@ -85,16 +85,20 @@
 	}
 }
 
-// watch applies changes of the source until a call fails.
+// watch applies changes of the source until a call fails or ctx ends. Watches begin at
+// least minRetryDelay apart, because the store may end each one at once.
 func (c *Controller) watch(ctx context.Context, position uint64) error {
-	for {
+	for ctx.Err() == nil {
+		startedAt := time.Now()
 		config, next, err := c.source.Watch(ctx, position)
 		if err != nil {
 			return err
 		}
 		position = next
 		c.Apply(config, "store")
+		clock.Sleep(ctx, minRetryDelay-time.Since(startedAt))
 	}
+	return nil
 }
 
 // recordSourceResult records the result of a call to the source, and logs when
--- a/internal/queues/queues_test.go
+++ b/internal/queues/queues_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -123,3 +124,30 @@
 	}
 	t.Fatalf("version %d is not in force after 10 s", version)
 }
+
+// hastySource is a Source whose watches end at once without a change.
+type hastySource struct {
+	fakeSource
+	watches int
+}
+
+func (s *hastySource) Watch(_ context.Context, position uint64) (*Config, uint64, error) {
+	const most = 1000
+	if s.watches++; s.watches > most {
+		return nil, position, errors.New("too many watches")
+	}
+	return nil, position, nil
+}
+
+// TestWatchesThatEndAtOnce guards against a controller that watches without a pause if the store ends each watch at once.
+func TestWatchesThatEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		s := &hastySource{}
+		err := NewController(s).watch(ctx, 1)
+		if most := int(time.Second/minRetryDelay) + 1; err != nil || s.watches > most {
+			t.Errorf("%d watches in a second, error %v, want at most %d", s.watches, err, most)
+		}
+	})
+}
