runner: a pause between status requests that the worker answers at once

While runs are active, the supervisor asks the worker to hold each status request for 40 ms and sends the next one when the reply comes. It had no delay of its own: a worker that replies at once although no run has ended got one request after the other, each with the runner's mutex, a tick and a pass over all runs.

Change: after a request that was to be held and a reply without ends, the next request follows at least 30 ms (statusRetryDelay) after the last one. Replies with ends and requests that are not to be held are followed at once as before, so ends are not seen later.

Test: TestStatusRequestsToHastyWorker, virtual time. It failed before with 1000 requests in a second (the bound of the test's worker), want at most 35.

--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -23,7 +23,8 @@
 	statusWait    = 40 * time.Millisecond
 	statusTimeout = 40 * time.Millisecond
 	// statusRetryDelay is the delay after a status request that failed without a
-	// timeout.
+	// timeout, and the least time between two requests to a worker that did not wait
+	// although no run had ended.
 	statusRetryDelay = 30 * time.Millisecond
 	// workerTimeout is the time without a status after which the worker gets no
 	// runs and its leases are not extended. It covers several requests, because a
@@ -175,6 +176,7 @@
 	failures, refusals := 0, 0
 	for s.ctx.Err() == nil {
 		req, requestedAt := s.nextStatusRequest()
+		sentAt := time.Now()
 		ctx, cancel := context.WithTimeout(s.ctx, req.Wait+statusTimeout)
 		reply, err := s.client.PollStatus(ctx, req)
 		cancel()
@@ -183,8 +185,11 @@
 		}
 		if err == nil {
 			failures, refusals = 0, 0
-			if s.handleStatus(requestedAt, reply) {
+			switch {
+			case s.handleStatus(requestedAt, reply):
 				s.waitForRuns()
+			case req.Wait > 0 && len(reply.Ended) == 0:
+				clock.Sleep(s.ctx, statusRetryDelay-time.Since(sentAt))
 			}
 			continue
 		}
--- /dev/null
+++ b/internal/runner/supervisor_test.go
@@ -0,0 +1,50 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// hastyWorker answers each status request at once with the same status.
+type hastyWorker struct {
+	freshWorker
+	status StatusReply
+	polls  int
+	cancel context.CancelFunc
+}
+
+func (w *hastyWorker) PollStatus(context.Context, StatusRequest) (StatusReply, error) {
+	const most = 1000
+	if w.polls++; w.polls == most {
+		w.cancel()
+	}
+	return w.status, nil
+}
+
+// pollForSecond polls the statuses of a worker for a second of virtual time.
+func pollForSecond(t *testing.T, w *hastyWorker) {
+	r := newTestRunner(t, clock.SinceBoot())
+	s := &supervisor{runner: r, client: w, wakeCh: make(chan struct{}, 1)}
+	s.ctx, w.cancel = context.WithTimeout(t.Context(), time.Second)
+	defer w.cancel()
+	r.supervisor = s
+	s.pollStatus()
+}
+
+// Guards against a sidecar that requests statuses without a pause from a worker that does not wait for ends.
+func TestStatusRequestsToHastyWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &hastyWorker{status: StatusReply{Incarnation: 1,
+			Running: []occupancy.Progress{{Run: work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}}}}}
+		pollForSecond(t, w)
+		if most := int(time.Second/statusRetryDelay) + 2; w.polls > most {
+			t.Errorf("%d status requests in a second, want at most %d", w.polls, most)
+		}
+	})
+}
