runner: few status requests reach the fencing token of a process whose clock was ahead

If the worker refuses a status request because it has seen a higher fencing token, the sidecar raised its token by 10 minutes and asked again at once.

Change: the step is doubled with each refusal in a row, and the next request follows at least 30 ms (statusRetryDelay) after the last one. A token that ends up too high costs the next process a few refusals, and the order of tokens stays that of the processes.

Test: TestFencingTokenOfFutureProcess, virtual time. It failed before with 1000 requests (the bound of the test's worker) for a token a year ahead, want at most 20.

--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -23,8 +23,8 @@
 	statusWait    = 40 * time.Millisecond
 	statusTimeout = 40 * time.Millisecond
 	// statusRetryDelay is the delay after a status request that failed without a
-	// timeout, and the least time between two requests to a worker that did not wait
-	// although no run had ended.
+	// timeout, and the least time between two requests to a worker that refused the
+	// fencing token or did not wait although no run had ended.
 	statusRetryDelay = 30 * time.Millisecond
 	// workerTimeout is the time without a status after which the worker gets no
 	// runs and its leases are not extended. It covers several requests, because a
@@ -39,6 +39,9 @@
 	// fencingTokenStep is added to the fencing token when the worker has seen a
 	// higher one, which an earlier process used while its clock was ahead.
 	fencingTokenStep = int64(10 * time.Minute / time.Millisecond)
+	// maxFencingDoublings bounds how often the step is doubled while the worker refuses
+	// status requests, so that few requests make up for a clock that was years ahead.
+	maxFencingDoublings = 20
 )
 
 // supervisor polls the worker at one address, extends its leases, and sends it the
@@ -47,9 +50,12 @@
 	runner       *Runner
 	client       WorkerClient
 	fencingToken int64
-	wakeCh       chan struct{}
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// fencedStatuses is the number of status requests in a row that the worker has
+	// refused because of the fencing token.
+	fencedStatuses int
+	wakeCh         chan struct{}
+	ctx            context.Context
+	cancel         context.CancelFunc
 
 	// lastSeenEnd is the number of the newest ended run that a status has listed.
 	lastSeenEnd uint64
@@ -188,7 +194,7 @@
 			switch {
 			case s.handleStatus(requestedAt, reply):
 				s.waitForRuns()
-			case req.Wait > 0 && len(reply.Ended) == 0:
+			case reply.Fenced, req.Wait > 0 && len(reply.Ended) == 0:
 				clock.Sleep(s.ctx, statusRetryDelay-time.Since(sentAt))
 			}
 			continue
@@ -230,9 +236,11 @@
 		return false
 	}
 	if reply.Fenced {
-		s.fencingToken += fencingTokenStep
+		s.fencingToken += fencingTokenStep << min(s.fencedStatuses, maxFencingDoublings)
+		s.fencedStatuses++
 		return false
 	}
+	s.fencedStatuses = 0
 	r.setStatusIncarnation(now, reply.Incarnation)
 	s.setClockOffset(now, reply.ClockMs)
 	s.inContact = true
--- a/internal/runner/supervisor_test.go
+++ b/internal/runner/supervisor_test.go
@@ -11,19 +11,24 @@
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// hastyWorker answers each status request at once with the same status.
+// hastyWorker answers each status request at once with the same status, after it has
+// refused those with a fencing token below the lowest one that it accepts.
 type hastyWorker struct {
 	freshWorker
-	status StatusReply
-	polls  int
-	cancel context.CancelFunc
+	status      StatusReply
+	lowestToken int64
+	polls       int
+	cancel      context.CancelFunc
 }
 
-func (w *hastyWorker) PollStatus(context.Context, StatusRequest) (StatusReply, error) {
+func (w *hastyWorker) PollStatus(_ context.Context, req StatusRequest) (StatusReply, error) {
 	const most = 1000
 	if w.polls++; w.polls == most {
 		w.cancel()
 	}
+	if req.FencingToken < w.lowestToken {
+		return StatusReply{Fenced: true}, nil
+	}
 	return w.status, nil
 }
 
@@ -48,3 +53,17 @@
 		}
 	})
 }
+
+// Guards against a sidecar that needs thousands of requests to reach the fencing token of a predecessor whose clock was ahead.
+func TestFencingTokenOfFutureProcess(t *testing.T) {
+	for _, ahead := range []time.Duration{0, time.Minute, time.Hour, 365 * 24 * time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &hastyWorker{status: StatusReply{Incarnation: 1}, lowestToken: ahead.Milliseconds()}
+			pollForSecond(t, w)
+			const most = 20
+			if w.polls > most {
+				t.Errorf("%d status requests for a token that is %v ahead, want at most %d", w.polls, ahead, most)
+			}
+		})
+	}
+}
