occupancy: the rejected runs of a dropped owner are not reported

What callers would see: all runs on a worker end with their leases, again and again, and the worker accepts none, for up to a minute.

Interleaving, since came together: entry instance E1 has a run of a task. At 0 s E2 sends the same task; the stop of E1's run is ordered and E2's run is to be rejected when that has settled. At 0.02 s E2's process ends, and E2 is dropped. At 0.05 s E1's run has ended and the rejection is queued for E2, which is not live, so that nothing sends or clears it. A dropped owner with an unsent end counts as busy, and leaseLimit counts dropped owners that are busy: from 1.2 s on, leases are not extended and the worker is closed, until E2 answers again or its client is removed, a minute after its first failed heartbeat.

Change: DropOwner removes the rejections of the owner, as it does with the ends of its runs.

TestRejectionOfDroppedOwner failed before: "leases are limited to 1.2s after the last run has ended", "no runs are accepted after the last run has ended". Found by reading.

Ruled out: other ends for an owner that is not live. Batches are carried out for live owners only, and DropOwner marks all of their runs.

--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -35,13 +35,16 @@
 }
 
 // DropOwner stops all runs of an owner that has ended or is out of contact, and
-// returns these runs. Their ends are not reported.
+// returns these runs. Their ends and the rejections of its other runs are not reported.
 func (m *Machine) DropOwner(now time.Duration, owner ident.Process) (dropped []work.RunID) {
 	for _, r := range m.runsOf(owner) {
 		dropped = append(dropped, r.Run)
 		r.ownerDropped = true
 		m.stop(now, r, "the owner is lost")
 	}
+	for _, r := range m.runs {
+		r.rejections = slices.DeleteFunc(r.rejections, func(rejection ReportEnd) bool { return rejection.Owner == owner })
+	}
 	m.startOrReturnQueued(now)
 	return dropped
 }
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -111,3 +111,26 @@
 		t.Error("no runs are accepted after the dropped owner's run has ended")
 	}
 }
+
+// Guards against a worker that stays closed, with leases that are not extended, because an
+// owner was dropped while the rejection of its run waited for the end of another owner's run.
+func TestRejectionOfDroppedOwner(t *testing.T) {
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r, now := newRunnerWithDroppedOwner(t, run)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	second := ident.Process{Instance: "second", Incarnation: 1}
+	o := &owner{Owner: ownership.New(4), runner: r, process: second, client: &entryClient{runner: r, wakeCh: make(chan struct{}, 1)}}
+	o.HeartbeatAnswered(now, now, 4)
+	r.owners[second] = o
+	r.machine.Submit(now, second, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
+	r.dropOwner(now, o, "test", 0)
+	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: now, Ended: []occupancy.EndedRun{{Run: run, Outcome: work.Lost, Reason: "stopped"}}})
+	r.runMachine(now)
+	if limit, limited := r.leaseLimit(); limited {
+		t.Errorf("leases are limited to %v after the last run has ended", limit-now)
+	}
+	if r.updateAvailability(now + ownership.LeaseAfterContact); !r.machine.AcceptsRuns() {
+		t.Error("no runs are accepted after the last run has ended")
+	}
+}
