broker: admit no job whose caller has closed the connection

An entry instance is frozen for 3.5 s. A caller's POST arrives at 0.1 s and lies unread; the caller gives up, closes the connection and submits the job again at another instance, which runs it. On waking, the first instance reads a fresh heartbeat and then the POST, admits the job and sends its runs; the watch of the connection tells only afterwards that the caller has left. Request-Deadline is relative, so the request looks new. The second submission may also lose its run: a sidecar stops the runs of the owner that came first when another owner hands in the same task, and here the late one is the stale one.

Cause: broker.Submit looked at the caller's connection only after it had placed the job.

Change: Submit asks for the state of the connection itself (a peek without waiting), under the lock and before it reads the clock. A pause that begins before the check shows in the connection, one that begins after it is found by the machine's own check of its steps. disconnect.Watch returns a Watcher with this check.

TestCallerHasLeft (with the earlier signature of Submit) fails on the program before and on: a batch with the runs, and one with the stops.

Cost: one system call per job.

--- a/internal/broker/sidecarclient_test.go
+++ b/internal/broker/sidecarclient_test.go
@@ -78,15 +78,26 @@
 	}
 }
 
+func testJob(id string) *work.Job {
+	return &work.Job{ID: id, Queue: "q", Service: "svc", MaxFailedRuns: 3, Timeout: 1500 * time.Millisecond,
+		Objective: time.Second, ObjectiveFactor: 2,
+		Steps: []work.Step{{Count: 1, Need: work.Resources{MilliCPU: 1000, MemoryMB: 1}, Estimate: 50 * time.Millisecond}}}
+}
+
+// fakeCaller is a caller that has left if left is closed, and else waits for its answer.
+type fakeCaller struct{ left chan struct{} }
+
+func (c fakeCaller) Left() <-chan struct{} { return c.left }
+
+func (c fakeCaller) HasLeft() bool { return c.left != nil }
+
 // submit submits a job and returns its answer. It sends heartbeats of the given
 // session while it waits.
 func (f *fixture) submit(id string, session func() uint64) work.Answer {
 	f.t.Helper()
 	answers := make(chan work.Answer, 1)
 	go func() {
-		answers <- f.broker.Submit(&work.Job{ID: id, Queue: "q", Service: "svc", MaxFailedRuns: 3, Timeout: 1500 * time.Millisecond,
-			Objective: time.Second, ObjectiveFactor: 2,
-			Steps: []work.Step{{Count: 1, Need: work.Resources{MilliCPU: 1000, MemoryMB: 1}, Estimate: 50 * time.Millisecond}}}, nil)
+		answers <- f.broker.Submit(testJob(id), fakeCaller{})
 	}()
 	const answerTimeout = 20 * time.Second
 	for end := time.Now().Add(answerTimeout); time.Now().Before(end); {
@@ -211,3 +222,22 @@
 	answered.Store(true)
 	f.submitUntilCompleted("a", 1)
 }
+
+// TestCallerHasLeft guards against runs of a job that its caller has submitted again
+// elsewhere while the request waited to be read.
+func TestCallerHasLeft(t *testing.T) {
+	f := newFixture(t, &fakeSidecar{})
+	f.sendHeartbeat(1)
+	c := f.broker.sidecars[f.peer.Process]
+	c.sending = true // keeps the batches in the queue
+	caller := fakeCaller{make(chan struct{})}
+	close(caller.left)
+	if a := f.broker.Submit(testJob("a"), caller); a.State != work.Unfinished || a.Reason != work.ReasonCallerLeft {
+		t.Errorf("answer %+v", a)
+	}
+	f.broker.mu.Lock()
+	defer f.broker.mu.Unlock()
+	for _, batch := range c.queue {
+		t.Errorf("a batch with %d runs and %d stops for a caller that has left", len(batch.Runs), len(batch.Stops))
+	}
+}
--- a/internal/decision/ownership/model_run_test.go
+++ b/internal/decision/ownership/model_run_test.go
@@ -26,6 +26,9 @@
 	// submission which an entry instance has admitted.
 	submission int
 	accepted   map[ident.Process]int
+	// closed holds the submissions whose connections the caller has closed, as the machine
+	// of the entry instance knows.
+	closed map[int]bool
 	// refusedBy holds the entry instances that have refused the newest submission to them.
 	refusedBy map[ident.Process]bool
 }
@@ -42,23 +45,35 @@
 	submission := j.submission
 	w := j.world
 	w.note("%s submitted at %v", j.id, e.id)
-	w.send("caller", e.id.Instance, &e.process, func() {
-		if j.submission != submission || j.final {
-			return // the caller has closed the connection
-		}
-		delete(j.refusedBy, e.id)
-		answer, ok := e.m.Submit(w.now, j.spec())
-		if ok {
-			j.accepted[e.id] = submission
-		}
-		e.step()
-		if !ok {
-			j.answered(e, submission, answer)
+	w.transmit("caller", e.id.Instance, func() {
+		if j.submission != submission {
+			j.closed[submission] = true // held back, so that the close follows at once
 		}
+		e.do(func() { j.admit(e, submission) })
 	})
 	j.watch(submission, 0)
 }
 
+// admit lets an entry instance read a submission.
+func (j *callerJob) admit(e *entryProcess, submission int) {
+	w := j.world
+	if j.closed[submission] {
+		if w.guards.callerLeft {
+			return
+		}
+		e.after(w.random(0, 2*ms), func() { j.left(e, submission) })
+	}
+	delete(j.refusedBy, e.id)
+	answer, ok := e.m.Submit(w.now, j.spec())
+	if ok {
+		j.accepted[e.id] = submission
+	}
+	e.step()
+	if !ok {
+		j.answered(e, submission, answer)
+	}
+}
+
 // watch submits the job again when the entry instance has been silent for resubmitDelay.
 func (j *callerJob) watch(submission int, silence time.Duration) {
 	const interval = 20 * ms
@@ -82,13 +97,9 @@
 // resubmit closes the connection to an entry instance and submits the job at another.
 func (j *callerJob) resubmit(e *entryProcess) {
 	w, submission := j.world, j.submission
-	w.send("caller", e.id.Instance, &e.process, func() {
-		if j.accepted[e.id] != submission {
-			return
-		}
-		w.note("%s caller leaves %v", j.id, e.id)
-		e.m.CallerLeft(w.now, j.id)
-		e.step()
+	w.transmit("caller", e.id.Instance, func() {
+		j.closed[submission] = true
+		e.do(func() { j.left(e, submission) })
 	})
 	for _, other := range w.entries {
 		if other.id.Instance != e.id.Instance {
@@ -98,6 +109,16 @@
 	}
 }
 
+// left tells an entry instance that the caller has closed the connection of a submission.
+func (j *callerJob) left(e *entryProcess, submission int) {
+	if j.accepted[e.id] != submission {
+		return
+	}
+	j.world.note("%s caller leaves %v", j.id, e.id)
+	e.m.CallerLeft(j.world.now, j.id)
+	e.step()
+}
+
 // answered handles an answer of an entry instance to a submission.
 func (j *callerJob) answered(e *entryProcess, submission int, a work.Answer) {
 	w := j.world
@@ -245,7 +266,7 @@
 
 // submitJob lets a caller submit a job with tasks of a run time.
 func (w *world) submitJob(e *entryProcess, duration, timeout time.Duration) {
-	j := &callerJob{world: w, id: fmt.Sprintf("job-%d", len(w.jobs)), duration: duration, timeout: timeout, refusedBy: map[ident.Process]bool{}, accepted: map[ident.Process]int{}}
+	j := &callerJob{world: w, id: fmt.Sprintf("job-%d", len(w.jobs)), duration: duration, timeout: timeout, refusedBy: map[ident.Process]bool{}, accepted: map[ident.Process]int{}, closed: map[int]bool{}}
 	w.jobs[j.id] = j
 	j.submit(e)
 }
@@ -298,6 +319,10 @@
 		w.isolate(w.entries[0], 5*time.Second)
 		w.after(w.random(450*ms, 650*ms), func() { w.pause(&w.sidecars[0].process, 3*time.Second) })
 	}},
+	"refusing a job whose caller has left": {func(g *guards) { g.callerLeft = false }, 900 * ms, func(w *world) {
+		w.pause(&w.entries[0].process, resubmitDelay+w.random(50*ms, 800*ms))
+		w.submitJob(w.entries[0], 900*ms, 20*time.Second)
+	}},
 	"the stop of a predecessor's runs": {func(g *guards) { g.leftovers = false }, 900 * ms, func(w *world) { w.restartSidecar(0) }},
 }
 
--- a/internal/decision/ownership/model_test.go
+++ b/internal/decision/ownership/model_test.go
@@ -22,10 +22,11 @@
 	// leftovers: a new sidecar process stops the runs of its predecessor first.
 	// pause: an entry instance that was paused or cut off gives up its jobs.
 	// leaseLimit: leases end a bounded time after the newest contact with the owners.
-	batchAge, ownerTimeout, leftovers, pause, leaseLimit bool
+	// callerLeft: an entry instance admits no job whose caller has left.
+	batchAge, ownerTimeout, leftovers, pause, leaseLimit, callerLeft bool
 }
 
-var allGuards = guards{true, true, true, true, true}
+var allGuards = guards{true, true, true, true, true, true}
 
 // world is one run of the model in virtual time: callers, entry instances, sidecars with
 // workers, and a network between them that delays, holds back and loses messages.
@@ -145,13 +146,19 @@
 // send delivers a message to a process after the delay of the network. While the link is
 // cut the message is held back.
 func (w *world) send(from, to string, receiver *process, f func()) {
+	w.transmit(from, to, func() { receiver.do(f) })
+}
+
+// transmit calls arrive when a message reaches the machine of its receiver, which may be
+// paused.
+func (w *world) transmit(from, to string, arrive func()) {
 	w.after(w.random(ms, 6*ms), func() {
 		link := [2]string{from, to}
 		if w.cut[link] > 0 {
-			w.held = append(w.held, heldMessage{link, func() { receiver.do(f) }})
+			w.held = append(w.held, heldMessage{link, arrive})
 			return
 		}
-		receiver.do(f)
+		arrive()
 	})
 }
 
--- a/internal/disconnect/disconnect.go
+++ b/internal/disconnect/disconnect.go
@@ -11,44 +11,84 @@
 	"golang.org/x/sys/unix"
 )
 
-// Watch returns a channel that is closed when the peer closes or resets the
-// connection, and a function that ends the watch. The caller must call stop before
-// it reads from the connection again. Watch consumes no data of the connection. When
-// data arrives from the peer, the watch ends, and a later close is not reported. If
-// conn does not implement syscall.Conn, the channel is nil.
-func Watch(conn net.Conn) (disconnected <-chan struct{}, stop func()) {
-	raw, ok := conn.(syscall.Conn)
+// Watcher watches one connection while the server handles a request. It consumes no data
+// of the connection.
+type Watcher struct {
+	conn net.Conn
+	// raw is nil if the connection can't be watched.
+	raw  syscall.RawConn
+	left chan struct{}
+	// ended is closed when the watch has ended.
+	ended   chan struct{}
+	stopped atomic.Bool
+}
+
+// Watch begins to watch a connection until Stop. If conn does not implement
+// syscall.Conn, the Watcher never reports anything.
+func Watch(conn net.Conn) *Watcher {
+	w := &Watcher{conn: conn}
+	c, ok := conn.(syscall.Conn)
 	if !ok {
-		return nil, func() {}
+		return w
 	}
-	rc, err := raw.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
-		return nil, func() {}
+		return w
+	}
+	w.raw, w.left, w.ended = raw, make(chan struct{}), make(chan struct{})
+	go w.wait()
+	return w
+}
+
+// wait waits until the peer closes the connection, sends data, or Stop is called.
+func (w *Watcher) wait() {
+	defer close(w.ended)
+	closed := false
+	err := w.raw.Read(func(fd uintptr) bool {
+		var readable bool
+		closed, readable = peek(fd)
+		return readable // if not, Read waits until the connection is readable and calls again
+	})
+	if closed || err != nil && !w.stopped.Load() {
+		close(w.left)
+	}
+}
+
+// peek reports whether the peer has closed or reset a connection, and whether a read
+// would return at once.
+func peek(fd uintptr) (closed, readable bool) {
+	var one [1]byte
+	n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err == unix.EAGAIN || err == unix.EINTR {
+		return false, false
 	}
-	closedByPeer, watchEnded := make(chan struct{}), make(chan struct{})
-	var stopped atomic.Bool
-	go func() {
-		defer close(watchEnded)
-		closed := false
-		err := rc.Read(func(fd uintptr) bool {
-			var one [1]byte
-			n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-			if err == unix.EAGAIN || err == unix.EINTR {
-				return false // Read waits until the connection is readable and calls again
-			}
-			closed = err != nil || n == 0
-			return true
-		})
-		if closed || err != nil && !stopped.Load() {
-			close(closedByPeer)
-		}
-	}()
-	return closedByPeer, func() {
-		stopped.Store(true)
-		// A deadline in the past ends the wait in rc.Read. SetReadDeadline fails only
-		// on a closed connection, whose reads have ended.
-		_ = conn.SetReadDeadline(time.Unix(1, 0))
-		<-watchEnded
-		_ = conn.SetReadDeadline(time.Time{})
+	return err != nil || n == 0, true
+}
+
+// Left returns a channel that is closed when the peer closes or resets the connection.
+// When data arrives from the peer, the watch ends, and a later close is not reported.
+func (w *Watcher) Left() <-chan struct{} { return w.left }
+
+// HasLeft reports whether the peer has closed or reset the connection, also if the
+// channel of Left has not been closed yet.
+func (w *Watcher) HasLeft() bool {
+	if w.raw == nil {
+		return false
+	}
+	closed := false
+	err := w.raw.Control(func(fd uintptr) { closed, _ = peek(fd) })
+	return closed || err != nil
+}
+
+// Stop ends the watch. It must be called before the connection is read again.
+func (w *Watcher) Stop() {
+	if w.raw == nil {
+		return
 	}
+	w.stopped.Store(true)
+	// A deadline in the past ends the wait in Read. SetReadDeadline fails only on a closed
+	// connection, whose reads have ended.
+	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
+	<-w.ended
+	_ = w.conn.SetReadDeadline(time.Time{})
 }
--- a/internal/disconnect/disconnect_test.go
+++ b/internal/disconnect/disconnect_test.go
@@ -29,17 +29,38 @@
 func TestDisconnect(t *testing.T) {
 	for _, reset := range []bool{false, true} {
 		server, client := connPair(t)
-		disconnected, stop := Watch(server)
+		watcher := Watch(server)
 		if reset {
 			client.(*net.TCPConn).SetLinger(0)
 		}
 		client.Close()
 		select {
-		case <-disconnected:
+		case <-watcher.Left():
 		case <-time.After(5 * time.Second):
 			t.Errorf("reset %v: disconnect not reported", reset)
 		}
-		stop()
+		watcher.Stop()
+	}
+}
+
+// TestHasLeft guards against a request that is handled although its caller closed the
+// connection while the request waited to be read.
+func TestHasLeft(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		server, client := connPair(t)
+		watcher := Watch(server)
+		if watcher.HasLeft() {
+			t.Error("a connected caller is reported as disconnected")
+		}
+		if reset {
+			client.(*net.TCPConn).SetLinger(0)
+		}
+		client.Close()
+		<-watcher.Left() // the close has arrived
+		watcher.Stop()
+		if !Watch(server).HasLeft() {
+			t.Errorf("reset %v: disconnect not reported at once", reset)
+		}
 	}
 }
 
@@ -47,25 +68,28 @@
 // reports a connected caller as disconnected, or leaves a read deadline set.
 func TestNoDisconnect(t *testing.T) {
 	server, client := connPair(t)
-	disconnected, stop := Watch(server)
-	stop()
+	watcher := Watch(server)
+	watcher.Stop()
 	select {
-	case <-disconnected:
+	case <-watcher.Left():
 		t.Fatal("disconnect reported although only the watch ended")
 	default:
 	}
-	disconnected, stop = Watch(server)
+	watcher = Watch(server)
 	if _, err := client.Write([]byte("next")); err != nil {
 		t.Fatal(err)
 	}
-	stop()
+	watcher.Stop()
+	if watcher.HasLeft() {
+		t.Error("a caller that sends data is reported as disconnected")
+	}
 	buf := make([]byte, 8)
 	n, err := server.Read(buf)
 	if err != nil || string(buf[:n]) != "next" {
 		t.Errorf("read %q, %v after the watch", buf[:n], err)
 	}
 	select {
-	case <-disconnected:
+	case <-watcher.Left():
 		t.Error("disconnect reported although the caller sends data")
 	default:
 	}
