runner: reports don't prolong the runs of an owner that was out of contact

All paths of a sidecar drop the owners that are out of contact before they do anything else, but one: sendEnds. A sidecar that wakes after a pause of two seconds and runs it first sends its report, the entry instance acknowledges it, and the acknowledgement counts as contact. The owner is then never dropped, though the entry instance has given up the runs after 0.9 s, abandoned the batches with their stops, and placed the tasks elsewhere after 2 s.

Change: owners that are out of contact are dropped before each report is sent, and again after its answer, which still counts for the time at which the report was sent.

TestReportAfterPause fails before ("paused: live true, want false") and passes after.

--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -115,30 +115,29 @@
 // them or is dropped.
 func (o *owner) sendEnds() {
 	r := o.runner
-	r.mu.Lock()
+	now := r.lockAndDropSilentOwners()
 	for len(o.pendingEnds) > 0 && o.Live() && r.ctx.Err() == nil {
-		now := clock.SinceBoot()
 		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
-		session := o.Session()
+		sentAt, session := now, o.Session()
 		r.mu.Unlock()
 		var reply wire.EndReply
 		err := o.client.rpcClient.CallWithTimeout(r.ctx, callTimeout, wire.ServiceBroker+".Ends", &batch, &reply)
+		if err != nil {
+			time.Sleep(endResendDelay)
+		}
 		r.mu.Lock()
+		now = clock.SinceBoot()
 		if err == nil && o.Session() == session {
-			o.ReportAnswered(now, session)
+			o.ReportAnswered(sentAt, session)
 			o.pendingEnds = o.pendingEnds[len(batch.Ends):]
 			if reply.WrongIncarnation {
-				r.dropOwner(clock.SinceBoot(), o, "another process answers", 0)
+				r.dropOwner(now, o, "another process answers", 0)
 			}
 		}
-		if err != nil {
-			r.mu.Unlock()
-			time.Sleep(endResendDelay)
-			r.mu.Lock()
-		}
+		r.dropSilentOwners(now)
 	}
 	o.sending = false
-	r.runMachineAndUnlock(clock.SinceBoot())
+	r.runMachineAndUnlock(now)
 }
 
 // endResendDelay is the delay before ends are sent again.
--- /dev/null
+++ b/internal/runner/owner_test.go
@@ -0,0 +1,80 @@
+package runner
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// reportReceiver is the RPC service of an entry instance that acknowledges all reports.
+type reportReceiver struct{}
+
+func (reportReceiver) Ends(*wire.EndBatch, *wire.EndReply) error { return nil }
+
+// ownerWithRun returns an owner with an active run and an end to report, whose last
+// contact was the given time ago.
+func ownerWithRun(t *testing.T, silence time.Duration) *owner {
+	t.Helper()
+	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.cancel()
+		r.listener.Close()
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpcnet.NewServer()
+	if err := server.Register(wire.ServiceBroker, reportReceiver{}); err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	now := clock.SinceBoot()
+	entry := ident.Process{Instance: "entry", Incarnation: 1}
+	o := &owner{Owner: ownership.New(4), runner: r, process: entry}
+	o.client = &entryClient{runner: r, rpcClient: rpcnet.NewClient(listener.Addr().String()), wakeCh: make(chan struct{}, 1), owner: o}
+	t.Cleanup(func() { o.client.rpcClient.Close() })
+	r.owners[entry] = o
+	o.HeartbeatAnswered(now-silence, now-silence, 4)
+	r.machine.SetWorker(now, occupancy.Worker{ID: "w", Incarnation: 1, Capacity: work.Resources{MilliCPU: 1000}})
+	r.machine.SetWorkerAvailable(now, true)
+	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: now})
+	r.machine.Submit(now, entry, []wire.RunRequest{{Run: work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}, MaxWaitMs: 1000}})
+	r.machine.Actions()
+	if r.machine.NumActive() != 1 {
+		t.Fatal("the run is not active")
+	}
+	o.pendingEnds = []wire.RunEnd{{Run: work.RunID{Task: work.TaskID{Job: "b"}, Attempt: 1}}}
+	return o
+}
+
+// TestReportAfterPause guards against a paused sidecar whose reports prolong the runs of
+// an owner that has given them up.
+func TestReportAfterPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence time.Duration
+		live    bool
+	}{
+		"in contact": {0, true},
+		"paused":     {2 * time.Second, false},
+	} {
+		o := ownerWithRun(t, c.silence)
+		o.sending = true
+		o.sendEnds()
+		if o.Live() != c.live || len(o.pendingEnds) > 0 {
+			t.Errorf("%s: live %v, want %v; %d ends to report", name, o.Live(), c.live, len(o.pendingEnds))
+		}
+	}
+}
