broker: a sidecar whose batch was abandoned out of contact is used again

What callers saw: an entry instance that refuses all jobs for good ("no worker") although all its sidecars send heartbeats; or, with some of them affected, overload at the others.

A batch without a reply marks its sidecar as unresponsive, and the next reply or the end of the batch takes the mark away. When the sidecar was out of contact by then (0.9 s without a message), the batch was abandoned and the mark stayed. If heartbeats came again before the sidecar was forgotten (2 s), it was known, in contact and unresponsive: it got no batch, and only the reply to a batch would have taken the mark away. A cut of one direction of 1 to 2 s is enough.

Abandoning a batch takes the mark away, as its removal by Prune does. The sidecar is not used before its next heartbeat in any case.

TestUnansweredBatchOutOfContact fails before in 3 of 3 runs (job b is not completed in 10 s), and passes in 3 of 3 after.

Ruled out: missing heartbeats (the sidecars' last contact was 0.1 to 0.6 s old), paused entry instances, closed workers (both accept runs).

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -178,6 +178,8 @@
 		return false
 	}
 	event.LogRateLimited(event.RunnerLost, "sidecar", c.sidecar.String(), "ended", exited, "err", err)
+	// The sidecar is used again with its next heartbeat, and no batch is sent before.
+	b.machine.SetUnresponsive(c.sidecar, false)
 	if !mayHaveArrived {
 		b.machine.BatchRejected(now, batch)
 	}
--- a/internal/broker/sidecarclient_test.go
+++ b/internal/broker/sidecarclient_test.go
@@ -230,3 +230,28 @@
 		t.Errorf("answer %+v after %d batches, want a refusal without a batch", answer, s.calls)
 	}
 }
+
+// TestUnansweredBatchOutOfContact guards against a sidecar that gets no more runs because it
+// stays marked as unresponsive: a batch is abandoned when the sidecar is out of contact.
+func TestUnansweredBatchOutOfContact(t *testing.T) {
+	s := &fakeSidecar{}
+	f := newFixture(t, s)
+	hold := make(chan struct{})
+	defer close(hold)
+	s.answer = func(int, *wire.RunBatch, *wire.RunReply) { <-hold }
+	f.sendHeartbeat(1)
+	answer := f.broker.Submit(&work.Job{ID: "a", Queue: "q", Service: "svc", MaxFailedRuns: 3, Timeout: 1500 * time.Millisecond, Objective: time.Second, ObjectiveFactor: 2,
+		Steps: []work.Step{{Count: 1, Need: work.Resources{MilliCPU: 1000, MemoryMB: 1}, Estimate: 50 * time.Millisecond}}}, nil)
+	if answer.State != work.Unfinished {
+		t.Fatalf("answer without a sidecar in contact: %+v", answer)
+	}
+	eventually(t, "the batch is abandoned", func() bool {
+		f.broker.mu.Lock()
+		defer f.broker.mu.Unlock()
+		return !f.broker.sidecars[f.peer.Process].sending
+	})
+	s.mu.Lock()
+	s.answer = func(_ int, b *wire.RunBatch, _ *wire.RunReply) { f.carryOut(b) }
+	s.mu.Unlock()
+	f.submitUntilCompleted("b", 2)
+}
