placement: an incarnation of a sidecar replaces others only while it is in use

What callers would see: 503 and longer waits, because an entry instance does not use a sound worker for 5 minutes.

At 6 s the path heals. S's heartbeat is read first; its worker accepts no runs yet. Then P's last heartbeat arrives, whose token is higher. P counts as new, its worker as one that begins to accept runs, and so each other known process as ended for good: S, the only one that lives, until 5 minutes later. A process that was never heard before and is first read after a pause does the same.

Change: the processes that a process has replaced belong to its worker, and are those that the entry instance knew before it. They are refused as long as that worker is in use, which is without a bound while its sidecar sends. When it is out of contact (5.5 s for an idle one), no run there is left to be protected, and a wrong order ends with it.

Cost: a set of a few numbers for each worker; the memory of 5 minutes is as before.

TestHeartbeatOfEndedProcess still passes in all cases.

Ruled out: two processes of one sidecar at a time. Both open the same internal port, so a paused predecessor keeps its successor from starting.

Not covered: a process that the entry instance has never heard before, with a higher token than its successor that accepts runs already, is taken for the later one; that needs a time of day that was set back and a worker that has restarted, too.

--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -88,7 +88,7 @@
 // endPredecessors ends the runs of earlier incarnations of a sidecar. The current
 // incarnation has verified that none of them is running.
 func (m *Machine) endPredecessors(now time.Duration, w *worker) {
-	m.endOtherIncarnations(now, w.info.Sidecar.Process)
+	w.predecessors = m.predecessorsOf(w.info.Sidecar.Process)
 	for id, other := range m.workers {
 		if other == w || id.Instance != w.info.Sidecar.Process.Instance || other.info.FencingToken > w.info.FencingToken {
 			continue
--- a/internal/decision/placement/incarnation.go
+++ b/internal/decision/placement/incarnation.go
@@ -14,24 +14,20 @@
 // incarnation is what is known about one process of a sidecar, also after its worker has
 // been removed.
 type incarnation struct {
-	// lastSeen is the time of its last heartbeat, or of the successor's first one with
-	// which its worker accepted runs.
+	// order is the number of the incarnation in the order of the first heartbeats.
+	order    uint64
 	lastSeen time.Duration
-	// ended is true once a successor's worker has accepted runs.
-	ended bool
 }
 
-// replaced reports whether a later incarnation of the sidecar is known. A network
+// replaced reports whether a later incarnation of the sidecar is in use. A network
 // partition can deliver heartbeats of a process that has ended long before. Fencing tokens
 // order two processes of which none has replaced the other yet; they come from the time of
-// day, which may be set back.
+// day, which may be set back. An incarnation replaces others only until its worker is
+// removed, so that a wrong order ends when the process that has ended is out of contact.
 func (m *Machine) replaced(info wire.WorkerInfo) bool {
 	process := info.Sidecar.Process
-	if known := m.incarnations[process.Instance][process.Incarnation]; known != nil && known.ended {
-		return true
-	}
 	for id, other := range m.workers {
-		if id.Instance == process.Instance && id != process && other.info.FencingToken > info.FencingToken {
+		if id.Instance == process.Instance && id != process && (other.predecessors[process.Incarnation] || other.info.FencingToken > info.FencingToken) {
 			return true
 		}
 	}
@@ -46,18 +42,22 @@
 		m.incarnations[process.Instance] = known
 	}
 	if known[process.Incarnation] == nil {
-		known[process.Incarnation] = &incarnation{}
+		m.lastIncarnation++
+		known[process.Incarnation] = &incarnation{order: m.lastIncarnation}
 	}
 	known[process.Incarnation].lastSeen = now
 }
 
-// endOtherIncarnations records that a process has replaced all others of its sidecar.
-func (m *Machine) endOtherIncarnations(now time.Duration, process ident.Process) {
-	for number, other := range m.incarnations[process.Instance] {
-		if number != process.Incarnation && !other.ended {
-			other.ended, other.lastSeen = true, now
+// predecessorsOf returns the incarnations of a sidecar that were known before the process.
+func (m *Machine) predecessorsOf(process ident.Process) map[uint64]bool {
+	predecessors := map[uint64]bool{}
+	known := m.incarnations[process.Instance]
+	for number, other := range known {
+		if other.order < known[process.Incarnation].order {
+			predecessors[number] = true
 		}
 	}
+	return predecessors
 }
 
 // forgetIncarnations removes the incarnations that have been silent for
--- a/internal/decision/placement/incarnation_test.go
+++ b/internal/decision/placement/incarnation_test.go
@@ -57,3 +57,41 @@
 		})
 	}
 }
+
+// Guards against a live process of a sidecar whose heartbeats are ignored for minutes because
+// one of its predecessor arrives before its worker accepts runs.
+func TestSuccessorWithoutRunsYet(t *testing.T) {
+	tests := []struct {
+		name                             string
+		ended, beforeLateHeartbeat, late int64
+	}{
+		{name: "time of day set back between the starts", ended: 200, beforeLateHeartbeat: 100, late: 100},
+		{name: "worker has left", ended: 100, beforeLateHeartbeat: 0, late: 200},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 0)
+			h.heartbeatOf(1, test.ended, true)
+			wait := func(acceptsRuns bool) {
+				for start := h.now; h.now < start+DefaultIdleTimeout+DefaultLeaseTimeout; {
+					h.now += 250 * ms
+					if acceptsRuns {
+						h.heartbeatOf(2, test.late, true)
+					} else {
+						h.m.Tick(h.now)
+					}
+				}
+			}
+			wait(false)
+			h.heartbeatOf(2, test.beforeLateHeartbeat, false)
+			h.heartbeatOf(1, test.ended, true)
+			wait(true)
+			if _, ok := h.submit(newJobSpec("job", 1, 100*ms)); !ok {
+				t.Fatal("the job was refused")
+			}
+			if runs := h.takeRuns(); len(runs[ident.Process{Instance: "side-0", Incarnation: 2}]) != 1 {
+				t.Errorf("runs %v, want one at the successor", runs)
+			}
+		})
+	}
+}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -102,10 +102,12 @@
 	cfg     Config
 	random  *rand.Rand
 	workers map[ident.Process]*worker
-	// incarnations holds the processes of each sidecar, by instance name and incarnation.
-	incarnations map[string]map[uint64]*incarnation
-	pools        map[string]*pool
-	jobs         map[string]*job
+	// incarnations holds the processes of each sidecar, by instance name and incarnation,
+	// and lastIncarnation is the order of the newest one.
+	incarnations    map[string]map[uint64]*incarnation
+	lastIncarnation uint64
+	pools           map[string]*pool
+	jobs            map[string]*job
 	// calibrations correct the declared run times, by queue.
 	calibrations map[string]*estimate.Calibration
 	// unanswered holds the jobs without an answer, the earliest deadline first.
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -38,6 +38,8 @@
 	// runs. Before that, the sidecar verifies that the worker runs nothing that an
 	// earlier sidecar process started.
 	acceptedRuns bool
+	// predecessors holds the earlier incarnations of the sidecar, once acceptedRuns is true.
+	predecessors map[uint64]bool
 }
 
 // reservation is the capacity for a sent run that the load summary does not include
