runner: the fencing token in a process's heartbeats never falls

What callers would see: tasks that run twice at the same time, for a moment, or a worker that an entry instance does not use for some seconds.

An entry instance that has not known P then reads a late heartbeat of P, held back by a cut or by its own pause: 100 is not lower than 0, so P is taken for the successor of S, and runs at S count as lost.

Change: heartbeats have the token also after the worker has left, and a supervisor for another address keeps a higher token of the one that it replaces.

Found by reading.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -28,3 +28,22 @@
 		t.Errorf("the ends up to %d are acknowledged, want the one that was listed", req.LastSeenEnd)
 	}
 }
+
+// Guards against a fencing token that falls in the heartbeats of one process: an entry
+// instance would take a late heartbeat of an ended process for one of its successor.
+func TestFencingTokenNeverFalls(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Fenced: true})
+	token := r.workerInfo().FencingToken
+	r.HandleDeregistration("i-1")
+	if got := r.workerInfo().FencingToken; got < token {
+		t.Errorf("token %d after the worker has left, %d before", got, token)
+	}
+	next := report(2, 1)
+	next.Address = "127.0.0.1:2"
+	r.HandleReport(next)
+	if got := r.workerInfo().FencingToken; got < token {
+		t.Errorf("token %d of a worker at another address, %d before", got, token)
+	}
+}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -73,12 +73,14 @@
 // startSupervisor replaces the supervisor by one for the worker at an address; mu is
 // held.
 func (r *Runner) startSupervisor(address string) {
+	// The start time orders the fencing tokens of successive sidecar processes on
+	// this machine. The worker remembers the highest token.
+	fencingToken := time.Now().UnixMilli()
 	if r.supervisor != nil {
 		r.supervisor.close()
+		fencingToken = max(fencingToken, r.supervisor.fencingToken)
 	}
-	// The start time orders the fencing tokens of successive sidecar processes on
-	// this machine. The worker remembers the highest token.
-	s := &supervisor{runner: r, client: r.dialWorker(address), fencingToken: time.Now().UnixMilli(), wakeCh: make(chan struct{}, 1)}
+	s := &supervisor{runner: r, client: r.dialWorker(address), fencingToken: fencingToken, wakeCh: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(r.ctx)
 	r.supervisor = s
 	r.wg.Go(s.pollStatus)
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -123,7 +123,7 @@
 	WrongIncarnation bool `msgpack:"g,omitempty"`
 }
 
-// WorkerInfo describes a sidecar and its worker. All fields but Sidecar are
+// WorkerInfo describes a sidecar and its worker. All fields but Sidecar and FencingToken are
 // empty while the sidecar has no worker.
 type WorkerInfo struct {
 	Sidecar Peer     `msgpack:"s"`
