runner: a worker that has restarted with an earlier start time is used again

What callers would see: a service with one worker less, for good.

Interleaving: worker process 100 (start time in milliseconds) exits at 0 s, the time of day was set back, and the worker starts again at 0.3 s with the start time 50. Its status requests are answered, with runs going on, but each of its reports is taken for a late one of an earlier incarnation, so the sidecar accepts no runs until the worker starts again with a time after 100.

Cause: start times order the reports, but come from a clock that may be set back.

Change: a report with an earlier start time is news if a status that was requested since the newest report came from the same incarnation. Status requests are sequential and answered by the process that runs, so a status of the incarnation before the newest report can't be meant. Late reports of the process that has exited are ignored then, though its start time is later.

TestWorkerWithEarlierStartTime failed before: "the worker accepts no runs after it has restarted". Found by reading; whether the users' workers take the start time from a clock that jumps is not known.

Not covered: a worker that starts again at another address with an earlier start time, since nothing asks that address for its status.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
@@ -47,3 +48,28 @@
 		t.Errorf("token %d of a worker at another address, %d before", got, token)
 	}
 }
+
+// Guards against a worker that is never used again because the time of day was set back
+// before it restarted, so that its reports look like those of an earlier incarnation.
+func TestWorkerWithEarlierStartTime(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(100, 9))
+	s := r.supervisor
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 50, ClockMs: 480000})
+	requestedAt := r.reportedAt + time.Millisecond
+	s.handleStatus(requestedAt, StatusReply{Incarnation: 100, ClockMs: 480000})
+	r.HandleReport(report(50, 1))
+	if r.report.Incarnation != 100 {
+		t.Error("a report of an earlier incarnation is taken for news")
+	}
+	s.handleStatus(requestedAt+time.Millisecond, StatusReply{Incarnation: 50, ClockMs: 3})
+	r.HandleReport(report(50, 1))
+	s.handleStatus(requestedAt+2*time.Millisecond, StatusReply{Incarnation: 50, ClockMs: 4})
+	if !r.machine.AcceptsRuns() {
+		t.Error("the worker accepts no runs after it has restarted")
+	}
+	r.HandleReport(report(100, 10))
+	if !r.machine.AcceptsRuns() {
+		t.Error("a late report of the incarnation that has exited is taken for news")
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -21,19 +21,25 @@
 }
 
 // HandleReport handles a worker's report about itself. It ignores reports of earlier
-// incarnations and reports that arrive after a newer one. When HandleReport returns
-// for a report with Draining set, the sidecar issues no further start calls. Calls that
-// it has issued before may still reach the worker.
+// incarnations, unless a status requested since the newest report came from that
+// incarnation, and reports that arrive after a newer one. When HandleReport returns for a
+// report with Draining set, the sidecar issues no further start calls. Calls that it has
+// issued before may still reach the worker.
 func (r *Runner) HandleReport(report Report) {
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
 	old := r.report
 	switch {
-	case report.Incarnation < old.Incarnation:
+	case report.Incarnation == r.exitedIncarnation && report.Incarnation != 0:
+		return
+	case report.Incarnation < old.Incarnation && !r.isRunning(report.Incarnation):
 		return
 	case report.ID == old.ID && report.Incarnation == old.Incarnation && report.Sequence <= old.Sequence:
 		return
 	}
+	if report.Incarnation < old.Incarnation {
+		r.exitedIncarnation = old.Incarnation
+	}
 	r.reportedAt = now
 	r.report = report
 	r.workerLeft = false
@@ -58,6 +64,13 @@
 	}
 }
 
+// isRunning reports whether a status that was requested after the newest report came from
+// an incarnation of the worker; mu is held. The start time of an incarnation is earlier than
+// that of its predecessor if the time of day was set back.
+func (r *Runner) isRunning(incarnation int64) bool {
+	return incarnation == r.statusIncarnation && r.statusRequestedAt > r.reportedAt
+}
+
 // HandleDeregistration handles the message of a worker that it is about to exit.
 func (r *Runner) HandleDeregistration(id string) {
 	now := r.lockAndDropSilentOwners()
@@ -70,10 +83,11 @@
 	r.updateAvailability(now)
 }
 
-// setStatusIncarnation records the worker incarnation that has sent a status; mu is
-// held. An incarnation that has not reported yet may have another capacity, so it
-// gets no runs before its report.
-func (r *Runner) setStatusIncarnation(now time.Duration, incarnation int64) {
+// setStatusIncarnation records the worker incarnation that has sent a status, requested at
+// requestedAt; mu is held. An incarnation that has not reported yet may have another
+// capacity, so it gets no runs before its report.
+func (r *Runner) setStatusIncarnation(now, requestedAt time.Duration, incarnation int64) {
+	r.statusRequestedAt = requestedAt
 	if incarnation == 0 || incarnation == r.statusIncarnation {
 		return
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,7 +83,12 @@
 	workerLeft bool
 	// statusIncarnation is the worker incarnation that sent the newest status,
 	// zero before the first one. It may differ from report.Incarnation.
+	// statusRequestedAt is the time at which the newest status was requested.
 	statusIncarnation int64
+	statusRequestedAt time.Duration
+	// exitedIncarnation is the newest worker incarnation that was followed by one with an
+	// earlier start time, zero if there was none.
+	exitedIncarnation int64
 	owners            map[ident.Process]*owner
 	// seeds are the addresses that AddEntry has added, and entries the clients of the
 	// entry instances to which this sidecar attaches, by address.
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -230,7 +230,7 @@
 		s.fencingToken += fencingTokenStep
 		return false
 	}
-	r.setStatusIncarnation(now, reply.Incarnation)
+	r.setStatusIncarnation(now, requestedAt, reply.Incarnation)
 	s.setClockOffset(now, reply.ClockMs)
 	s.inContact = true
 	s.lastStatusAt = now
