runner: runs of a dropped owner limit the leases until they have ended

Cause: leases end 1.2 s after the newest contact with each owner that has runs at the worker, but a dropped owner no longer counted. From the drop, 0.7 s after the last contact, only the stops end its runs. If the stops get no answer (a call without an answer may be carried out seconds later), status requests and starts for other owners go on extending the leases of all runs of the worker, those of the dropped owner too. The caller's second submission 1.3 s after the first instance fell silent then runs beside them.

Interleaving: 0.0 s contact; 0.05 s the entry instance freezes and its caller's connection breaks; 0.7 s the sidecar drops it and orders the stops, at 0.7, 0.78, ... 1.26 s, none carried out; another instance has runs there and keeps the leases at now + 0.95 s; 1.35 s the second submission starts the task at another worker.

Evidence: the model of package ownership, in which workers now leave orders unanswered and carry them out 2 to 6 s later, have one lease for all runs as on the platform, and sidecars give up a worker that is silent for 0.5 s.

Change: leaseLimit counts owners that have been dropped and have runs here, until a lease that ends at their limit has certainly lapsed. The price is paid only if stops stay unanswered for more than half a second: the leases of all runs of that worker then run out.

TestLeaseLimitOfDroppedOwner fails before; the fault is on too, which limits leases for no owner.

--- a/internal/decision/ownership/model_processes_test.go
+++ b/internal/decision/ownership/model_processes_test.go
@@ -167,6 +167,8 @@
 	m        *occupancy.Machine
 	owners   map[ident.Process]*modelOwner
 	lastSeen int // number of the worker's ends that have been read
+	// statusAt is the time of the last status. The leases have expired by leasesExpireAt.
+	statusAt, leasesExpireAt time.Duration
 	// started holds the owners of the runs that this process has taken.
 	started map[work.RunID]ident.Process
 }
@@ -325,12 +327,17 @@
 
 // leaseEnd returns the end of a lease that begins now.
 func (s *sidecarProcess) leaseEnd() time.Duration {
-	end := s.clock() + lease
+	now := s.clock()
+	end := now + lease
 	for _, o := range s.owners {
-		if o.Live() && o.busy(s) && s.world.guards.leaseLimit {
-			end = min(end, o.LastContact()+ownership.LeaseAfterContact)
+		limit := o.LastContact() + ownership.LeaseAfterContact
+		dropped := !o.Live() && (!s.world.guards.droppedLimit || now > limit+leaseExpiryMargin)
+		if o.busy(s) && !dropped && s.world.guards.leaseLimit {
+			end = min(end, limit)
 		}
 	}
+	end = max(end, now)
+	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
 	return end - clockSkew
 }
 
@@ -341,19 +348,22 @@
 		for _, a := range actions {
 			switch a := a.(type) {
 			case occupancy.StartRun:
-				owner := s.started[a.Run]
-				s.callWorker(func() bool {
-					return s.worker.start(s.token, a.Run, owner, s.leaseEnd(), s.world.jobs[a.Run.Task.Job].duration)
-				}, func(ok bool) {
-					result := occupancy.Accepted
-					if !ok {
+				owner, leaseEnd, duration := s.started[a.Run], s.leaseEnd(), s.world.jobs[a.Run.Task.Job].duration
+				result := occupancy.Accepted
+				s.order(s.world.unanswered, func() {
+					if !s.worker.start(s.token, a.Run, owner, leaseEnd, duration) {
 						result = occupancy.Outdated
 					}
+				}, func(answered bool) {
+					if !answered {
+						result = occupancy.Unanswered
+					}
 					s.m.StartAnswered(s.clock(), a.Run, result, "")
 				})
 			case occupancy.StopRun:
-				s.callWorker(func() bool { return s.worker.stop(s.token, a.Run) }, func(ok bool) {
-					if ok {
+				stopped := false
+				s.order(max(s.world.unanswered, s.world.unansweredStops), func() { stopped = s.worker.stop(s.token, a.Run) }, func(answered bool) {
+					if answered && stopped {
 						s.m.StopConfirmed(s.clock(), a.Run)
 					}
 				})
@@ -369,31 +379,6 @@
 	}
 }
 
-// callWorker makes a call to the worker and handles the reply. A pause of the sidecar
-// can come before the call and before the reply.
-func (s *sidecarProcess) callWorker(call func() bool, done func(bool)) {
-	s.after(s.world.random(0, ms), func() {
-		ok := call()
-		s.after(s.world.random(0, 2*ms), func() {
-			s.dropSilentOwners()
-			done(ok)
-			s.step()
-		})
-	})
-}
-
-func (k *worker) stop(token int64, run work.RunID) bool {
-	if token < k.token {
-		return false
-	}
-	k.token = token
-	k.highest[run.Task] = max(k.highest[run.Task], run.Attempt)
-	if k.running[run] != nil {
-		k.end(run, work.Lost)
-	}
-	return true
-}
-
 func (s *sidecarProcess) sendEnds(o *modelOwner) {
 	if o.sending || len(o.pendingEnds) == 0 || !o.Live() {
 		return
@@ -417,33 +402,3 @@
 		s.step()
 	})
 }
-
-// poll requests the worker's status at regular intervals and extends the leases.
-func (s *sidecarProcess) poll() {
-	s.dropSilentOwners()
-	requestedAt := s.clock()
-	s.after(s.world.random(0, ms), func() {
-		k := s.worker
-		k.token = max(k.token, s.token)
-		status := occupancy.WorkerStatus{RequestedAt: requestedAt}
-		for run, t := range k.running {
-			if s.m.NumActive() > 0 {
-				t.leaseEnd = max(t.leaseEnd, s.leaseEnd())
-			}
-			if s.world.guards.leftovers || !s.started[run].IsZero() {
-				status.Running = append(status.Running, occupancy.Progress{Run: run, Percent: int(s.world.now / ms)})
-			}
-		}
-		for _, e := range k.ended[s.lastSeen:] {
-			status.Ended = append(status.Ended, occupancy.EndedRun{Run: e.run, Outcome: e.outcome})
-		}
-		seen := len(k.ended)
-		s.after(s.world.random(0, 2*ms), func() {
-			s.dropSilentOwners()
-			s.lastSeen = max(s.lastSeen, seen)
-			s.m.ApplyStatus(s.clock(), status)
-			s.step()
-			s.after(30*ms, s.poll)
-		})
-	})
-}
--- a/internal/decision/ownership/model_run_test.go
+++ b/internal/decision/ownership/model_run_test.go
@@ -176,7 +176,7 @@
 		w.entries = append(w.entries, w.newEntry(fmt.Sprint("entry-", i), 1))
 	}
 	for i := range 2 {
-		k := &worker{world: w, index: i, running: map[work.RunID]*runningTask{}, highest: map[work.TaskID]int{}}
+		k := &worker{world: w, index: i, running: map[work.RunID]bool{}, highest: map[work.TaskID]int{}}
 		w.workers = append(w.workers, k)
 		w.sidecars = append(w.sidecars, w.newSidecar(k, 1))
 	}
@@ -319,9 +319,18 @@
 		w.isolate(w.entries[0], 5*time.Second)
 		w.after(w.random(450*ms, 650*ms), func() { w.pause(&w.sidecars[0].process, 3*time.Second) })
 	}},
+	"the limit of leases for dropped owners": {func(g *guards) { g.droppedLimit = false }, 3 * time.Second, func(w *world) {
+		w.submitJob(w.entries[1], 3*time.Second, 20*time.Second)
+		w.runUntil(w.now + 20*ms)
+		w.unansweredStops = 1
+		w.after(1500*ms, func() { w.unansweredStops = 0 })
+		w.pause(&w.entries[0].process, 4*time.Second)
+	}},
 	"refusing a job whose caller has left": {func(g *guards) { g.callerLeft = false }, 900 * ms, func(w *world) {
 		w.pause(&w.entries[0].process, resubmitDelay+w.random(50*ms, 800*ms))
-		w.submitJob(w.entries[0], 900*ms, 20*time.Second)
+		for range 2 {
+			w.submitJob(w.entries[0], 3*time.Second, 20*time.Second)
+		}
 	}},
 	"the stop of a predecessor's runs": {func(g *guards) { g.leftovers = false }, 900 * ms, func(w *world) { w.restartSidecar(0) }},
 }
--- a/internal/decision/ownership/model_test.go
+++ b/internal/decision/ownership/model_test.go
@@ -22,11 +22,12 @@
 	// leftovers: a new sidecar process stops the runs of its predecessor first.
 	// pause: an entry instance that was paused or cut off gives up its jobs.
 	// leaseLimit: leases end a bounded time after the newest contact with the owners.
+	// droppedLimit: they do so also for runs of dropped owners.
 	// callerLeft: an entry instance admits no job whose caller has left.
-	batchAge, ownerTimeout, leftovers, pause, leaseLimit, callerLeft bool
+	batchAge, ownerTimeout, leftovers, pause, leaseLimit, droppedLimit, callerLeft bool
 }
 
-var allGuards = guards{true, true, true, true, true, true}
+var allGuards = guards{true, true, true, true, true, true, true}
 
 // world is one run of the model in virtual time: callers, entry instances, sidecars with
 // workers, and a network between them that delays, holds back and loses messages.
@@ -43,6 +44,9 @@
 	// cut counts the faults that hold back messages, by sender and receiver.
 	cut  map[[2]string]int
 	held []heldMessage
+	// unanswered is the share of the orders to workers that get no answer and are carried
+	// out seconds later, and unansweredStops that of the stops if it is higher.
+	unanswered, unansweredStops float64
 	// violations describe the broken rules.
 	violations []string
 	completed  int
@@ -216,68 +220,3 @@
 		w.send(b, a, from, func() { finish(answered) })
 	})
 }
-
-// worker runs tasks under leases. It outlives the processes of its sidecar.
-type worker struct {
-	world   *world
-	index   int
-	running map[work.RunID]*runningTask
-	highest map[work.TaskID]int
-	ended   []endedTask
-	token   int64 // highest fencing token seen
-}
-
-type runningTask struct {
-	leaseEnd time.Duration
-}
-
-type endedTask struct {
-	run     work.RunID
-	outcome work.Outcome
-}
-
-const lease = 950 * ms
-
-// start starts a run, and checks that no other run of the task is running anywhere.
-func (k *worker) start(token int64, run work.RunID, owner ident.Process, leaseEnd, duration time.Duration) bool {
-	if token < k.token || run.Attempt <= k.highest[run.Task] {
-		return false
-	}
-	k.token, k.highest[run.Task] = token, run.Attempt
-	for _, other := range k.world.workers {
-		for running := range other.running {
-			if running.Task == run.Task {
-				k.world.violate(run, "worker %d starts attempt %d of %v while worker %d runs attempt %d", k.index, run.Attempt, run.Task, other.index, running.Attempt)
-			}
-		}
-	}
-	k.world.note("%s worker %d starts task %d attempt %d of %v", run.Task.Job, k.index, run.Task.Index, run.Attempt, owner)
-	t := &runningTask{leaseEnd: leaseEnd}
-	k.running[run] = t
-	k.world.jobs[run.Task.Job].started(run, owner)
-	k.world.after(duration, func() {
-		if k.running[run] == t {
-			k.end(run, work.Done)
-		}
-	})
-	k.watchLease(run, t)
-	return true
-}
-
-func (k *worker) watchLease(run work.RunID, t *runningTask) {
-	k.world.after(t.leaseEnd-k.world.now, func() {
-		switch {
-		case k.running[run] != t:
-		case k.world.now >= t.leaseEnd:
-			k.end(run, work.Lost)
-		default:
-			k.watchLease(run, t)
-		}
-	})
-}
-
-func (k *worker) end(run work.RunID, outcome work.Outcome) {
-	k.world.note("%s worker %d ends task %d attempt %d: %v", run.Task.Job, k.index, run.Task.Index, run.Attempt, outcome)
-	delete(k.running, run)
-	k.ended = append(k.ended, endedTask{run, outcome})
-}
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -42,10 +42,15 @@
 }
 
 // leaseLimit returns the latest end of a lease that the contact with the owners that have
-// runs here allows, and whether there is such an owner; mu is held.
-func (r *Runner) leaseLimit() (limit time.Duration, limited bool) {
+// runs here allows, and whether there is such an owner; mu is held. A run of a dropped
+// owner also limits the leases, because its stop may fail, until it has certainly lapsed.
+func (r *Runner) leaseLimit(now time.Duration) (limit time.Duration, limited bool) {
 	for _, o := range r.owners {
-		if at := o.LastContact() + ownership.LeaseAfterContact; o.Live() && o.busy() && (!limited || at < limit) {
+		at := o.LastContact() + ownership.LeaseAfterContact
+		if !o.busy() || !o.Live() && now > at+leaseExpiryMargin {
+			continue
+		}
+		if !limited || at < limit {
 			limit, limited = at, true
 		}
 	}
--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -51,8 +51,10 @@
 	r.machine.SetWorker(now, occupancy.Worker{ID: "w", Incarnation: 1, Capacity: work.Resources{MilliCPU: 1000}})
 	r.machine.SetWorkerAvailable(now, true)
 	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: now})
-	r.machine.Submit(now, entry, []wire.RunRequest{{Run: work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}, MaxWaitMs: 1000}})
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r.machine.Submit(now, entry, []wire.RunRequest{{Run: run, MaxWaitMs: 1000}})
 	r.machine.Actions()
+	r.machine.StartAnswered(now, run, occupancy.Accepted, "")
 	if r.machine.NumActive() != 1 {
 		t.Fatal("the run is not active")
 	}
@@ -78,3 +80,26 @@
 		}
 	}
 }
+
+// TestLeaseLimitOfDroppedOwner guards against leases that the contact with other owners
+// extends while a run of a silent owner has not ended, because its stop is unanswered.
+func TestLeaseLimitOfDroppedOwner(t *testing.T) {
+	o := ownerWithRun(t, time.Second)
+	r := o.runner
+	now := clock.SinceBoot()
+	r.dropSilentOwners(now)
+	if o.Live() {
+		t.Fatal("the owner has not been dropped")
+	}
+	end := o.LastContact() + ownership.LeaseAfterContact
+	if limit, limited := r.leaseLimit(now); !limited || limit != end {
+		t.Errorf("leases may end %v after the last contact, limited %v", limit-o.LastContact(), limited)
+	}
+	if _, limited := r.leaseLimit(end + leaseExpiryMargin + 1); limited {
+		t.Error("leases are limited although the run has lapsed")
+	}
+	r.machine.WorkerExited(now)
+	if _, limited := r.leaseLimit(now); limited {
+		t.Error("leases are limited although the run has ended")
+	}
+}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -94,7 +94,7 @@
 // their end in milliseconds of the worker's clock; mu is held.
 func (s *supervisor) recordLeaseRequest(now time.Duration) int64 {
 	end := now + s.runner.cfg.MaxLease - leaseMargin
-	if limit, limited := s.runner.leaseLimit(); limited {
+	if limit, limited := s.runner.leaseLimit(now); limited {
 		end = max(min(end, limit), now)
 	}
 	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
