runner: heartbeats keep the fencing token while the worker leaves

Heartbeats carry the fencing token so that an entry instance can tell a process of a sidecar from its predecessors. From the deregistration of the worker to the report of the next one they carried none.

Interleaving: a cut holds back a heartbeat of a sidecar process, which is then killed. After the cut its successor gets runs; the old connection still waits for its next retransmission. Now the old heartbeat arrives: no known process has a higher token, so it counts as a newer process which accepts runs, and placement ends the successor's runs as lost and starts their tasks elsewhere until the worker has ended.

Change: the token does not depend on the worker.

--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -236,8 +236,11 @@
 // mu is held.
 func (r *Runner) workerInfo() wire.WorkerInfo {
 	info := wire.WorkerInfo{Sidecar: r.self}
-	if r.supervisor != nil && !r.workerLeft {
+	if r.supervisor != nil {
+		// Orders the processes of this sidecar, also while there is no worker.
 		info.FencingToken = r.supervisor.fencingToken
+	}
+	if r.supervisor != nil && !r.workerLeft {
 		info.Worker, info.Service, info.Rack, info.Labels = r.report.ID, r.report.Service, r.report.Rack, r.report.Labels
 	}
 	return info
--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -103,3 +103,16 @@
 		t.Error("leases are limited although the run has ended")
 	}
 }
+
+// TestFencingTokenAfterDeregistration guards against a delayed heartbeat of an ended sidecar
+// process that is taken for a newer one because the worker of its successor is leaving.
+func TestFencingTokenAfterDeregistration(t *testing.T) {
+	r := ownerWithRun(t, 0).runner
+	const token = 7
+	r.supervisor = &supervisor{runner: r, fencingToken: token}
+	r.report.ID = "w"
+	r.HandleDeregistration("w")
+	if info := r.workerInfo(); info.FencingToken != token || info.Worker != "" {
+		t.Errorf("heartbeats say %+v, want the token %d and no worker", info, token)
+	}
+}
