placement: ignore reports of an earlier session

Attempts begin at 1 with each submission, so a job that is submitted again at the same entry instance uses the numbers of its earlier runs again. A report about one of those that is delayed until then ends the new run in the books of the entry instance, which starts the task again beside it.

Interleaving: 0 s a cut holds back the report "a, task 0, attempt 1: no room" of a sidecar; 0.7 s the sidecar drops the owner; 3.7 s the entry instance answers the job with 504; 5.0 s the caller submits it again, at the same instance, as it may; 5.5 s the cut has healed, the sidecar's new session is known and the task runs there as attempt 1, for the worker has never seen the earlier one; 5.6 s the old connection retransmits and the report arrives: attempt 2 is started elsewhere while attempt 1 runs.

Change: reports carry the session, as batches and heartbeats do, and one of another session ends nothing. Runs of an earlier session are known to have ended, so nothing is missed. A report delayed for over a second within one session is still believed; a sidecar that gets no answer for 0.35 s sends it on a new connection, so only the retransmission of a closed connection could bring it.

TestReportOfEarlierSession fails before and on (without the argument): attempt 2 is sent. The broker's tests report with the session of the batch, as a sidecar does.

Cost: up to 9 bytes a report.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -237,7 +237,7 @@
 		c.noteClock(now, &req.Load)
 	}
 	b.machine.SetLoad(now, req.Sidecar, req.Load)
-	b.machine.RunsEnded(now, req.Sidecar, req.Ends)
+	b.machine.RunsEnded(now, req.Sidecar, req.Session, req.Ends)
 	b.runMachine(now)
 	return nil
 }
--- a/internal/broker/sidecarclient_test.go
+++ b/internal/broker/sidecarclient_test.go
@@ -136,7 +136,7 @@
 		ends = append(ends, wire.RunEnd{Run: run, Outcome: work.NotRun})
 	}
 	go func() {
-		_ = (&rpcService{f.broker}).Ends(&wire.EndBatch{Entry: f.broker.self.Process, Sidecar: f.peer.Process, Ends: ends}, &wire.EndReply{}) // a valid report gets no error
+		_ = (&rpcService{f.broker}).Ends(&wire.EndBatch{Entry: f.broker.self.Process, Sidecar: f.peer.Process, Session: b.Session, Ends: ends}, &wire.EndReply{}) // a valid report gets no error
 	}()
 }
 
--- a/internal/decision/ownership/model_processes_test.go
+++ b/internal/decision/ownership/model_processes_test.go
@@ -390,7 +390,7 @@
 			c.noteClock(s.world.now, load)
 		}
 		o.entry.m.SetLoad(s.world.now, s.id, load)
-		o.entry.m.RunsEnded(s.world.now, s.id, ends)
+		o.entry.m.RunsEnded(s.world.now, s.id, session, ends)
 		o.entry.step()
 	}, func(r callResult) {
 		o.sending = false
--- /dev/null
+++ b/internal/decision/placement/contact_test.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// TestReportOfEarlierSession guards against a delayed report about a job's earlier submission
+// that ends the same run of its later one, whose task is then started again beside it.
+func TestReportOfEarlierSession(t *testing.T) {
+	h := newHarness(t, 1)
+	side := process(0)
+	h.submit(newJobSpec("a", 1, 60*ms))
+	first := h.takeRuns()[side][0]
+	h.m.CallerLeft(h.now, "a")
+	h.collect()
+	delete(h.answers, "a")
+	h.heartbeat(0, 1, 32000) // the sidecar has dropped all runs
+	h.submit(newJobSpec("a", 1, 60*ms))
+	second := h.takeRuns()[side][0]
+	if first.Run != second.Run {
+		t.Fatalf("runs %v and %v", first.Run, second.Run)
+	}
+	for _, outcome := range []work.Outcome{work.NoRoom, work.Lost, work.Done} {
+		h.m.RunsEnded(h.now, side, 0, []wire.RunEnd{{Run: first.Run, Outcome: outcome}})
+		h.collect()
+		if runs, unanswered := h.takeRuns(), h.m.UnansweredJobs(); len(runs) > 0 || unanswered != 1 {
+			t.Fatalf("a delayed %v: runs %v, %d jobs without an answer", outcome, runs, unanswered)
+		}
+	}
+	h.endRun(side, second, work.Done)
+	if a := h.answers["a"]; a.State != work.Completed {
+		t.Errorf("answer %+v", a)
+	}
+}
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -103,7 +103,7 @@
 
 // endRun reports the end of a run.
 func (h *harness) endRun(sidecar ident.Process, r wire.RunRequest, outcome work.Outcome) {
-	h.m.RunsEnded(h.now, sidecar, []wire.RunEnd{{Run: r.Run, Outcome: outcome, RunMs: 50}})
+	h.m.RunsEnded(h.now, sidecar, h.m.workers[sidecar].session, []wire.RunEnd{{Run: r.Run, Outcome: outcome, RunMs: 50}})
 	h.collect()
 }
 
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -65,11 +65,13 @@
 	m.executePlan(now, j, p)
 }
 
-// RunsEnded records the ends of runs that a sidecar has reported.
-func (m *Machine) RunsEnded(now time.Duration, sidecar ident.Process, ends []wire.RunEnd) {
+// RunsEnded records the ends of runs that a sidecar has reported. It ignores a report of an
+// earlier session: its runs are known to have ended, and a job that has been submitted again
+// uses their numbers again.
+func (m *Machine) RunsEnded(now time.Duration, sidecar ident.Process, session uint64, ends []wire.RunEnd) {
 	m.checkContacts(now)
 	w := m.workers[sidecar]
-	if w == nil {
+	if w == nil || w.session != session {
 		return
 	}
 	for _, e := range ends {
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -122,7 +122,7 @@
 	r := o.runner
 	now := r.lockAndDropSilentOwners()
 	for len(o.pendingEnds) > 0 && o.Live() && r.ctx.Err() == nil {
-		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
+		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Session: o.Session(), Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
 		sentAt, session := now, o.Session()
 		r.mu.Unlock()
 		var reply wire.EndReply
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -112,8 +112,11 @@
 type EndBatch struct {
 	Entry   ident.Process `msgpack:"e"`
 	Sidecar ident.Process `msgpack:"s"`
-	Ends    []RunEnd      `msgpack:"n"`
-	Load    Load          `msgpack:"l"`
+	// Session is the session of the owner in which the runs have ended. The owner ignores
+	// a report of an earlier one, which was delayed.
+	Session uint64   `msgpack:"i"`
+	Ends    []RunEnd `msgpack:"n"`
+	Load    Load     `msgpack:"l"`
 }
 
 // EndReply acknowledges an EndBatch.
