--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -240,6 +240,7 @@
 func (r *Runner) workerInfo() wire.WorkerInfo {
 	info := wire.WorkerInfo{Sidecar: r.self}
 	if r.supervisor != nil {
+		// Orders the processes of this sidecar, also while there is no worker.
 		info.FencingToken = r.supervisor.fencingToken
 	}
 	if !r.workerLeft {
