occupancy: the model test lets a status tell of a restart before the report does

It named a restarted worker by its ID and incarnation at once, so the state between a status of the new process and its first report was never reached. All earlier checks are kept.

--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -133,7 +133,9 @@
 			}
 		}
 		// The new process may receive calls before the Machine hears of it.
+		reportedIncarnation, statusIncarnation := int64(1), int64(1)
 		noticeRestart := func() {
+			reportedIncarnation = incarnation
 			m.SetWorker(now, Worker{ID: "w", Incarnation: incarnation, Capacity: work.Resources{MilliCPU: w.capacity}})
 		}
 		takeCall := func() pendingCall {
@@ -199,7 +201,10 @@
 			},
 			"status": func(*rapid.T) {
 				now++
-				noticeRestart()
+				if incarnation != statusIncarnation && incarnation != reportedIncarnation {
+					m.SetWorker(now, Worker{Incarnation: incarnation}) // the ID follows with the report
+				}
+				statusIncarnation = incarnation
 				m.ApplyStatus(now, w.status(now))
 				refusedAt = 0 // an earlier request can't be refused any more
 				now++
