runner: the new tests of owners use a sidecar without timers and one clock

The race detector's run of the package failed once, on the loaded machine: the run in the fixture of TestFencingTokenAfterDeregistration counted as stalled after 0.45 s, and the sidecar's timer then stopped it through a supervisor without a context. The test needs no run. The timers of test sidecars are stopped at their end, and the tests of contact compare with times derived from the contact itself, so that a slow machine does not change them.

--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -19,9 +19,8 @@
 
 func (reportReceiver) Ends(*wire.EndBatch, *wire.EndReply) error { return nil }
 
-// ownerWithRun returns an owner with an active run and an end to report, whose last
-// contact was the given time ago.
-func ownerWithRun(t *testing.T, silence time.Duration) *owner {
+// newTestRunner returns a sidecar that is not running.
+func newTestRunner(t *testing.T) *Runner {
 	t.Helper()
 	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second}, nil, nil)
 	if err != nil {
@@ -29,8 +28,17 @@
 	}
 	t.Cleanup(func() {
 		r.cancel()
+		r.tickTimer.Stop()
 		r.listener.Close()
 	})
+	return r
+}
+
+// ownerWithRun returns an owner with an active run and an end to report, whose last
+// contact was the given time ago.
+func ownerWithRun(t *testing.T, silence time.Duration) *owner {
+	t.Helper()
+	r := newTestRunner(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +77,7 @@
 		silence time.Duration
 		live    bool
 	}{
-		"in contact": {0, true},
+		"in contact": {-time.Hour, true},
 		"paused":     {2 * time.Second, false},
 	} {
 		o := ownerWithRun(t, c.silence)
@@ -86,7 +94,7 @@
 func TestLeaseLimitOfDroppedOwner(t *testing.T) {
 	o := ownerWithRun(t, time.Second)
 	r := o.runner
-	now := clock.SinceBoot()
+	now := o.LastContact() + time.Second
 	r.dropSilentOwners(now)
 	if o.Live() {
 		t.Fatal("the owner has not been dropped")
@@ -107,7 +115,7 @@
 // TestFencingTokenAfterDeregistration guards against a delayed heartbeat of an ended sidecar
 // process that is taken for a newer one because the worker of its successor is leaving.
 func TestFencingTokenAfterDeregistration(t *testing.T) {
-	r := ownerWithRun(t, 0).runner
+	r := newTestRunner(t)
 	const token = 7
 	r.supervisor = &supervisor{runner: r, fencingToken: token}
 	r.report.ID = "w"
