ownership: the model lets workers leave calls unanswered, carry them out late and restart

The model's workers answered each call at once, so it could not show what the sidecar does with a start, stop or status request without an answer. Now a share of the calls gets no answer and is carried out at once, 2 to 12 s later or never; starts whose lease has ended are rejected; the sidecar counts a silent worker as out of contact and its leases as expired as package runner does; and workers restart under their IDs, with clock, fencing token and ends anew. Calls of the old process that are carried out late end with it (not sure from the protocol; the other reading can't be kept by any sidecar that is itself stopped).

--- a/internal/decision/ownership/model_processes_test.go
+++ b/internal/decision/ownership/model_processes_test.go
@@ -169,6 +169,11 @@
 	lastSeen int // number of the worker's ends that have been read
 	// started holds the owners of the runs that this process has taken.
 	started map[work.RunID]ident.Process
+	// workerIncarnation is that of the newest status.
+	workerIncarnation int64
+	// The fields below are as in package runner.
+	inContact                    bool
+	lastStatusAt, leasesExpireAt time.Duration
 }
 
 type modelOwner struct {
@@ -186,11 +191,10 @@
 func (w *world) newSidecar(k *worker, incarnation uint64) *sidecarProcess {
 	s := &sidecarProcess{process: process{world: w, id: ident.Process{Instance: fmt.Sprint("side-", k.index), Incarnation: incarnation}},
 		worker: k, token: int64(incarnation), m: occupancy.New(occupancy.Config{}), owners: map[ident.Process]*modelOwner{}, started: map[work.RunID]ident.Process{}}
+	s.setWorker(k.incarnation)
 	if !w.guards.leftovers {
 		s.lastSeen = len(k.ended)
 	}
-	s.m.SetWorker(s.clock(), occupancy.Worker{ID: s.id.Instance, Incarnation: 1, Capacity: work.Resources{MilliCPU: 4000, MemoryMB: 1000}})
-	s.m.SetWorkerAvailable(s.clock(), true)
 	s.poll()
 	for i := range w.entries {
 		s.after(w.random(0, 100*ms), func() { s.heartbeat(i) })
@@ -323,17 +327,6 @@
 	})
 }
 
-// leaseEnd returns the end of a lease that begins now.
-func (s *sidecarProcess) leaseEnd() time.Duration {
-	end := s.clock() + lease
-	for _, o := range s.owners {
-		if o.Live() && o.busy(s) && s.world.guards.leaseLimit {
-			end = min(end, o.LastContact()+ownership.LeaseAfterContact)
-		}
-	}
-	return end - clockSkew
-}
-
 // step carries out the actions of the occupancy machine.
 func (s *sidecarProcess) step() {
 	s.m.Tick(s.clock())
@@ -341,22 +334,9 @@
 		for _, a := range actions {
 			switch a := a.(type) {
 			case occupancy.StartRun:
-				owner := s.started[a.Run]
-				s.callWorker(func() bool {
-					return s.worker.start(s.token, a.Run, owner, s.leaseEnd(), s.world.jobs[a.Run.Task.Job].duration)
-				}, func(ok bool) {
-					result := occupancy.Accepted
-					if !ok {
-						result = occupancy.Outdated
-					}
-					s.m.StartAnswered(s.clock(), a.Run, result, "")
-				})
+				s.startRun(a.Run)
 			case occupancy.StopRun:
-				s.callWorker(func() bool { return s.worker.stop(s.token, a.Run) }, func(ok bool) {
-					if ok {
-						s.m.StopConfirmed(s.clock(), a.Run)
-					}
-				})
+				s.stopRun(a.Run)
 			case occupancy.ReportEnd:
 				if o := s.owners[a.Owner]; o != nil {
 					o.pendingEnds = append(o.pendingEnds, a.End)
@@ -369,19 +349,6 @@
 	}
 }
 
-// callWorker makes a call to the worker and handles the reply. A pause of the sidecar
-// can come before the call and before the reply.
-func (s *sidecarProcess) callWorker(call func() bool, done func(bool)) {
-	s.after(s.world.random(0, ms), func() {
-		ok := call()
-		s.after(s.world.random(0, 2*ms), func() {
-			s.dropSilentOwners()
-			done(ok)
-			s.step()
-		})
-	})
-}
-
 func (k *worker) stop(token int64, run work.RunID) bool {
 	if token < k.token {
 		return false
@@ -417,33 +384,3 @@
 		s.step()
 	})
 }
-
-// poll requests the worker's status at regular intervals and extends the leases.
-func (s *sidecarProcess) poll() {
-	s.dropSilentOwners()
-	requestedAt := s.clock()
-	s.after(s.world.random(0, ms), func() {
-		k := s.worker
-		k.token = max(k.token, s.token)
-		status := occupancy.WorkerStatus{RequestedAt: requestedAt}
-		for run, t := range k.running {
-			if s.m.NumActive() > 0 {
-				t.leaseEnd = max(t.leaseEnd, s.leaseEnd())
-			}
-			if s.world.guards.leftovers || !s.started[run].IsZero() {
-				status.Running = append(status.Running, occupancy.Progress{Run: run, Percent: int(s.world.now / ms)})
-			}
-		}
-		for _, e := range k.ended[s.lastSeen:] {
-			status.Ended = append(status.Ended, occupancy.EndedRun{Run: e.run, Outcome: e.outcome})
-		}
-		seen := len(k.ended)
-		s.after(s.world.random(0, 2*ms), func() {
-			s.dropSilentOwners()
-			s.lastSeen = max(s.lastSeen, seen)
-			s.m.ApplyStatus(s.clock(), status)
-			s.step()
-			s.after(30*ms, s.poll)
-		})
-	})
-}
--- a/internal/decision/ownership/model_run_test.go
+++ b/internal/decision/ownership/model_run_test.go
@@ -155,7 +155,7 @@
 		w.entries = append(w.entries, w.newEntry(fmt.Sprint("entry-", i), 1))
 	}
 	for i := range 2 {
-		k := &worker{world: w, index: i, running: map[work.RunID]*runningTask{}, highest: map[work.TaskID]int{}}
+		k := &worker{world: w, index: i, running: map[work.RunID]*runningTask{}, highest: map[work.TaskID]int{}, incarnation: 1}
 		w.workers = append(w.workers, k)
 		w.sidecars = append(w.sidecars, w.newSidecar(k, 1))
 	}
@@ -195,7 +195,11 @@
 func (w *world) disturb() {
 	e, s := w.rnd.Intn(len(w.entries)), w.rnd.Intn(len(w.sidecars))
 	long := w.random(100*ms, 4*time.Second)
-	switch w.rnd.Intn(7) {
+	kinds := 7
+	if w.workerRestarts {
+		kinds++
+	}
+	switch w.rnd.Intn(kinds) {
 	case 0:
 		w.pause(&w.entries[e].process, long)
 	case 1:
@@ -218,6 +222,8 @@
 		for i := range w.sidecars {
 			w.restartSidecar(i)
 		}
+	case 7:
+		w.workers[s].restart()
 	}
 }
 
@@ -251,9 +257,13 @@
 }
 
 // play plays a world with random jobs and faults and returns it.
-func play(seed int64, g guards) *world {
+func play(seed int64, g guards) *world { return playWith(seed, g, func(*world) {}) }
+
+// playWith is like play, with a change of the world before it begins.
+func playWith(seed int64, g guards, change func(*world)) *world {
 	const duration = 30 * time.Second
 	w := newWorld(seed, g)
+	change(w)
 	w.runUntil(time.Second)
 	for w.now < duration && len(w.violations) == 0 {
 		w.submitJob(w.entries[w.rnd.Intn(len(w.entries))], w.random(40*ms, 900*ms), w.random(time.Second, 8*time.Second))
@@ -298,6 +308,10 @@
 		w.isolate(w.entries[0], 5*time.Second)
 		w.after(w.random(450*ms, 650*ms), func() { w.pause(&w.sidecars[0].process, 3*time.Second) })
 	}},
+	"the limit of leases of dropped owners": {func(g *guards) { g.droppedOwners = false }, 3 * time.Second, func(w *world) {
+		w.lateStops = true
+		w.pause(&w.entries[0].process, 4*time.Second)
+	}},
 	"the stop of a predecessor's runs": {func(g *guards) { g.leftovers = false }, 900 * ms, func(w *world) { w.restartSidecar(0) }},
 }
 
--- a/internal/decision/ownership/model_test.go
+++ b/internal/decision/ownership/model_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
@@ -22,10 +23,11 @@
 	// leftovers: a new sidecar process stops the runs of its predecessor first.
 	// pause: an entry instance that was paused or cut off gives up its jobs.
 	// leaseLimit: leases end a bounded time after the newest contact with the owners.
-	batchAge, ownerTimeout, leftovers, pause, leaseLimit bool
+	// droppedOwners: that time counts for dropped owners until their runs have ended, too.
+	batchAge, ownerTimeout, leftovers, pause, leaseLimit, droppedOwners bool
 }
 
-var allGuards = guards{true, true, true, true, true}
+var allGuards = guards{true, true, true, true, true, true}
 
 // world is one run of the model in virtual time: callers, entry instances, sidecars with
 // workers, and a network between them that delays, holds back and loses messages.
@@ -39,6 +41,13 @@
 	sidecars []*sidecarProcess
 	workers  []*worker
 	jobs     map[string]*callerJob
+	// unansweredOrders is the share of the calls to workers that get no answer. The worker
+	// carries them out at once, 2 to 12 s later or never.
+	unansweredOrders float64
+	// lateStops lets the workers carry out all stop calls 2 to 12 s late, without an answer.
+	lateStops bool
+	// workerRestarts makes restarts of workers, under the same ID, one of the random faults.
+	workerRestarts bool
 	// cut counts the faults that hold back messages, by sender and receiver.
 	cut  map[[2]string]int
 	held []heldMessage
@@ -218,6 +227,8 @@
 	highest map[work.TaskID]int
 	ended   []endedTask
 	token   int64 // highest fencing token seen
+	// incarnation counts the processes of the worker.
+	incarnation int64
 }
 
 type runningTask struct {
@@ -232,9 +243,12 @@
 const lease = 950 * ms
 
 // start starts a run, and checks that no other run of the task is running anywhere.
-func (k *worker) start(token int64, run work.RunID, owner ident.Process, leaseEnd, duration time.Duration) bool {
-	if token < k.token || run.Attempt <= k.highest[run.Task] {
-		return false
+func (k *worker) start(token int64, run work.RunID, owner ident.Process, leaseEnd, duration time.Duration) occupancy.StartResult {
+	switch {
+	case token < k.token || leaseEnd <= k.world.now:
+		return occupancy.Rejected
+	case run.Attempt <= k.highest[run.Task]:
+		return occupancy.Outdated
 	}
 	k.token, k.highest[run.Task] = token, run.Attempt
 	for _, other := range k.world.workers {
@@ -254,7 +268,7 @@
 		}
 	})
 	k.watchLease(run, t)
-	return true
+	return occupancy.Accepted
 }
 
 func (k *worker) watchLease(run work.RunID, t *runningTask) {
