--- a/internal/decision/occupancy/restart_test.go
+++ b/internal/decision/occupancy/restart_test.go
@@ -17,8 +17,7 @@
 	return ends
 }
 
-// Guards against a run reported as lost while the next incarnation of the worker, which
-// has kept the ID, executes it: its task would run twice.
+// Guards against a run reported as lost while the worker's next process executes it.
 func TestStartAcceptedByNextIncarnation(t *testing.T) {
 	for name, notice := range map[string]func(m *Machine){
 		"seen in a status":   func(m *Machine) { m.SetWorker(3*ms, Worker{Incarnation: 2}) },
@@ -41,8 +40,7 @@
 	}
 }
 
-// Guards against runs of a worker process that has exited which occupy capacity, or are
-// not reported as lost, after the next incarnation has shown that it does not execute them.
+// Guards against runs of an exited worker process that stay active or are lost too early.
 func TestRunsOfExitedIncarnation(t *testing.T) {
 	m := newMachine(4)
 	m.Submit(0, owner, []wire.RunRequest{request("listed", 1, 0), request("answered", 1, 0)})
@@ -64,8 +62,7 @@
 	}
 }
 
-// Guards against the loss of a second when a worker process exits: the runs that it
-// accepted before its port was found closed have ended with it.
+// Guards against runs that outlast the proof that their worker process has exited.
 func TestRunsEndWithProcess(t *testing.T) {
 	m := newMachine(4)
 	m.Submit(0, owner, []wire.RunRequest{request("a", 1, 0)})
@@ -76,8 +73,7 @@
 	}
 }
 
-// Guards against a run reported as not run, so that its job may be refused, although the
-// worker has executed it before the stop call.
+// Guards against a run reported as not run although the worker executed it before the stop.
 func TestStoppedRunThatHasRun(t *testing.T) {
 	for name, show := range map[string]func(m *Machine, run work.RunID){
 		"listed": func(m *Machine, run work.RunID) {
--- a/internal/decision/ownership/model_orders_test.go
+++ b/internal/decision/ownership/model_orders_test.go
@@ -161,8 +161,7 @@
 	return status, len(k.ended)
 }
 
-// TestModelUnansweredOrders guards against the same as TestModel when workers leave a share
-// of the calls without an answer, carry some of them out late, and restart under their IDs.
+// TestModelUnansweredOrders guards against the same as TestModel with such workers.
 func TestModelUnansweredOrders(t *testing.T) {
 	const worlds = 60
 	completed := 0
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -8,8 +8,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// Guards against a status of an exited worker process that is handled after the report of
-// the next process: its end numbers would acknowledge ends of the next process unseen.
+// Guards against an old status whose end numbers acknowledge ends of the next process unseen.
 func TestStatusOfExitedProcess(t *testing.T) {
 	r := newSilentRunner(t)
 	r.HandleReport(report(1, 9))
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -79,9 +79,7 @@
 	return r, now
 }
 
-// Guards against leases of a dropped owner's run that grow with each status request while
-// the worker leaves the stop calls unanswered: the run goes on beside that of the caller's
-// second submission.
+// Guards against two runs of a task when the worker leaves a dropped owner's stops unanswered.
 func TestLeasesOfDroppedOwner(t *testing.T) {
 	r, droppedAt := newRunnerWithDroppedOwner(t, work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1})
 	r.mu.Lock()
@@ -92,8 +90,7 @@
 	}
 }
 
-// Guards against starts whose lease has ended before they reach the worker, and against a
-// worker that stays closed after the dropped owner's run has ended.
+// Guards against starts that get no lease, and against a worker that stays closed after that.
 func TestNoStartsWithoutLease(t *testing.T) {
 	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
 	r, droppedAt := newRunnerWithDroppedOwner(t, run)
