--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -19,8 +19,8 @@
 
 func (reportReceiver) Ends(*wire.EndBatch, *wire.EndReply) error { return nil }
 
-// newTestRunner returns a sidecar that is not running.
-func newTestRunner(t *testing.T) *Runner {
+// newStoppedRunner returns a sidecar that is not running.
+func newStoppedRunner(t *testing.T) *Runner {
 	t.Helper()
 	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second}, nil, nil)
 	if err != nil {
@@ -38,7 +38,7 @@
 // contact was the given time ago.
 func ownerWithRun(t *testing.T, silence time.Duration) *owner {
 	t.Helper()
-	r := newTestRunner(t)
+	r := newStoppedRunner(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -92,7 +92,7 @@
 // TestFencingTokenAfterDeregistration guards against a delayed heartbeat of an ended sidecar
 // process that is taken for a newer one because the worker of its successor is leaving.
 func TestFencingTokenAfterDeregistration(t *testing.T) {
-	r := newTestRunner(t)
+	r := newStoppedRunner(t)
 	const token = 7
 	r.supervisor = &supervisor{runner: r, fencingToken: token}
 	r.report.ID = "w"
