occupancy: a stop from one owner does not stop another owner's run

What callers saw: after a cut of one direction that outlasted a job, the second submission of that job ended late, and the entry instance of the first one refused about every second job for good ("no worker"), and each later submission of that job ("already under way").

Each owner counts the attempts of a task from 1, so the runs of two owners can have the same ID. A stop that the first owner sent during the cut reached the sidecar when the second owner's run of that ID was active, and stopped it. Its end was reported to the second owner only. The first owner kept the task at that worker for ever, and since it expected the frequent heartbeats of a sidecar with runs, it took the sidecar for out of contact between two idle heartbeats.

Stop names the owner. A run of another owner is left alone, and the owner that wants to stop a run that is not here gets the report that says so, as before.

TestStopOfAnotherOwnersRun fails with the comparison of owners taken out ("the run of another owner is stopped").

Ruled out: lost reports of ends (none was sent), closed workers, an entry instance that had stopped working (it answered all batches).

--- a/internal/decision/occupancy/model_test.go
+++ b/internal/decision/occupancy/model_test.go
@@ -195,7 +195,7 @@
 			},
 			"stop": func(t *rapid.T) {
 				for _, id := range sortedIDs(m.runs) {
-					m.Stop(now, id)
+					m.Stop(now, owner, id)
 					return
 				}
 			},
--- a/internal/decision/occupancy/occupancy_test.go
+++ b/internal/decision/occupancy/occupancy_test.go
@@ -296,3 +296,19 @@
 		t.Errorf("actions %+v, want only %+v", got, want)
 	}
 }
+
+// Guards against a delayed stop of one owner that stops another owner's run of the same
+// task and attempt, and leaves the first owner without a report.
+func TestStopOfAnotherOwnersRun(t *testing.T) {
+	m := newMachine(4)
+	q := request("a", 1, 0)
+	m.Submit(0, owner, []wire.RunRequest{q})
+	m.StartAnswered(ms, q.Run, Accepted, "")
+	m.Actions()
+	if m.Stop(2*ms, ident.Process{Instance: "another"}, q.Run) || len(m.Actions()) > 0 {
+		t.Error("the run of another owner is stopped")
+	}
+	if !m.Stop(3*ms, owner, q.Run) || len(m.Actions()) == 0 {
+		t.Error("the owner's run is not stopped")
+	}
+}
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -13,11 +13,12 @@
 // confirms the stop call. Without a confirmation, the Machine repeats the action.
 type StopRun struct{ Run work.RunID }
 
-// Stop stops a run that its owner no longer needs. It reports whether the run is
-// queued or active; the owner gets a report of the end in that case.
-func (m *Machine) Stop(now time.Duration, id work.RunID) (known bool) {
+// Stop stops a run that its owner no longer needs. It reports whether a run of that owner
+// is queued or active; the owner gets a report of the end in that case. Another owner may
+// have a run with the same ID, because each owner counts the attempts of a task.
+func (m *Machine) Stop(now time.Duration, owner ident.Process, id work.RunID) (known bool) {
 	r := m.runs[id]
-	if r == nil {
+	if r == nil || r.owner != owner {
 		return false
 	}
 	m.stop(now, r, "stopped by its owner")
--- a/internal/decision/ownership/model_processes_test.go
+++ b/internal/decision/ownership/model_processes_test.go
@@ -294,7 +294,7 @@
 	}
 	if verdict != ownership.Applied {
 		for _, run := range b.Stops {
-			if !s.m.Stop(s.clock(), run) {
+			if !s.m.Stop(s.clock(), from.id, run) {
 				o.pendingEnds = append(o.pendingEnds, wire.RunEnd{Run: run, Outcome: work.NotRun})
 			}
 		}
--- a/internal/decision/placement/simulation/entry_test.go
+++ b/internal/decision/placement/simulation/entry_test.go
@@ -74,7 +74,7 @@
 	e.sim.afterNetworkDelay(func() {
 		w.m.Submit(e.sim.now, e.id, s.Runs)
 		for _, r := range s.Stops {
-			if !w.m.Stop(e.sim.now, r) {
+			if !w.m.Stop(e.sim.now, e.id, r) {
 				w.reportEnd(e, wire.RunEnd{Run: r, Outcome: work.NotRun})
 			}
 		}
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -182,7 +182,7 @@
 // stopRuns stops runs that the owner no longer needs; mu is held.
 func (o *owner) stopRuns(now time.Duration, runs []work.RunID) {
 	for _, id := range runs {
-		if !o.runner.machine.Stop(now, id) {
+		if !o.runner.machine.Stop(now, o.process, id) {
 			// The run was never sent, or its end has been reported to the owner.
 			o.pendingEnds = append(o.pendingEnds, wire.RunEnd{Run: id, Outcome: work.NotRun, Reason: "unknown run"})
 		}
