ownership: the model plays workers, their calls and their restarts

The model of placement, ownership and occupancy knew workers that answer each call, live for ever and have a perfect clock.

It gains, with the state machines driven as before: - calls to workers (start, stop, status) one by one, with the sidecar's timeouts, that get lost, overtake each other, are left without an answer and carried out 2 to 12 s later, or wait while the worker stands still; - leases as the worker keeps them: one end for all runs, never shortened, at most a second from the arrival of a call, on a clock up to 2% slow; - stops that take up to 50 ms; numbered ends that are forgotten once seen; - workers that crash and come back, at once or later, under their identifier or another, in contact or behind a cut, with clock, numbers and fencing token starting anew; reports that identify them, delayed by cuts; - workers that are cut off, stand still or run slow; a machine that loses power; - requests that lie unread in a paused entry instance; - steps of the time of day, from which sidecars take their fencing tokens; - the question to each entry instance to serve a job when the faults are over.

Known and not in the model: a worker's time of birth that goes back with the time of day.

--- /dev/null
+++ b/internal/decision/ownership/model_faults_test.go
@@ -0,0 +1,99 @@
+package ownership_test
+
+import "time"
+
+// jobTimeout is the timeout of the jobs of a fault's world.
+const jobTimeout = 20 * time.Second
+
+// playFault plays a world with one job and a fault that begins while the job runs, and
+// checks that each entry instance serves a job after it.
+func playFault(seed int64, g guards, f fault) *world {
+	w := newWorld(seed, g)
+	w.runUntil(w.random(2*time.Second, 3500*ms))
+	w.submitJob(w.entries[0], f.runTime, jobTimeout)
+	w.runUntil(w.now + w.random(50*ms, f.runTime/2))
+	f.begin(w)
+	w.runUntil(w.now + f.length)
+	w.checkService()
+	return w
+}
+
+// fault is a situation in which one rule alone prevents that a task runs twice at a time,
+// or that an entry instance serves no jobs.
+type fault struct {
+	takeOut func(*guards)
+	runTime time.Duration // of the first job
+	length  time.Duration // until the effects of the fault are over
+	begin   func(*world)
+}
+
+// faults holds the faults by the rule that each of them needs.
+var faults = map[string]fault{
+	// Either of these two ends the runs of a silent owner in time.
+	"the timeout of owners and the limit of leases": {func(g *guards) { g.ownerTimeout, g.leaseLimit = false, false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		w.pause(&w.entries[0].process, 4*time.Second)
+	}},
+	"abandoning jobs after a pause": {func(g *guards) { g.pause = false }, 600 * ms, 8 * time.Second, func(w *world) {
+		w.submitJob(w.entries[0], 600*ms, jobTimeout)
+		w.runUntil(w.now + w.random(20*ms, 100*ms))
+		w.pause(&w.entries[0].process, resubmitDelay+w.random(50*ms, 400*ms))
+	}},
+	"abandoning jobs after a cut": {func(g *guards) { g.pause = false }, 600 * ms, 8 * time.Second, func(w *world) {
+		w.isolate(w.entries[0], resubmitDelay+w.random(50*ms, 400*ms))
+	}},
+	"the limit of leases": {func(g *guards) { g.leaseLimit = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		w.isolate(w.entries[0], 5*time.Second)
+		w.after(w.random(450*ms, 650*ms), func() { w.pause(&w.sidecars[0].process, 3*time.Second) })
+	}},
+	"the limit of leases of dropped owners": {func(g *guards) { g.droppedLimit = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		w.isolate(w.entries[0], 5*time.Second)
+		w.pauseAfterDrop(w.sidecars[0])
+	}},
+	"the check of callers after a pause": {func(g *guards) { g.callerCheck = false }, 900 * ms, 8 * time.Second, func(w *world) {
+		w.after(2*time.Second, func() { // the first job has ended, so that no owner is dropped
+			w.pause(&w.entries[0].process, resubmitDelay+w.random(50*ms, 700*ms))
+			w.submitJob(w.entries[0], 900*ms, jobTimeout)
+		})
+	}},
+	"the stop of a predecessor's runs": {func(g *guards) { g.leftovers = false }, 900 * ms, 8 * time.Second, func(w *world) { w.restartSidecar(0) }},
+	"using a sidecar whose batch was abandoned": {func(g *guards) { g.responsive = false }, 600 * ms, 8 * time.Second, func(w *world) {
+		d := w.random(1000*ms, 2200*ms)
+		for _, s := range w.sidecars {
+			w.cutBothWays(w.entries[0].id.Instance, s.id.Instance, d)
+		}
+		w.submitJob(w.entries[0], 600*ms, jobTimeout)
+	}},
+	"voiding start calls without an answer": {func(g *guards) { g.unanswered = false }, 5 * time.Second, 15 * time.Second, func(w *world) {
+		w.workers[0].lateUntil = w.now + time.Second
+		w.submitJob(w.entries[0], 5*time.Second, jobTimeout)
+	}},
+	"the fencing of a predecessor's calls": {func(g *guards) { g.fencing = false }, 6 * time.Second, 15 * time.Second, func(w *world) {
+		w.workers[0].lateUntil = w.now + 100*ms
+		w.submitJob(w.entries[0], 6*time.Second, jobTimeout)
+		w.after(10*ms, func() { w.restartSidecar(0) })
+		for i := range 8 { // runs that keep the leases of the worker
+			w.after(time.Duration(i)*time.Second, func() { w.submitJob(w.entries[1], 1500*ms, jobTimeout) })
+		}
+	}},
+	"the stop of runs at the next worker process": {func(g *guards) { g.restart = false }, 300 * ms, 8 * time.Second, func(w *world) {
+		w.after(time.Second, func() { // no run is active, so that no status is requested
+			w.workers[0].crash(0, true)
+			w.submitJob(w.entries[0], 900*ms, jobTimeout)
+		})
+	}},
+	"the expiry of leases at a worker that is cut off": {func(g *guards) { g.leaseExpiry = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		w.cutBothWays(w.workers[0].name(), w.sidecars[0].id.Instance, 4*time.Second)
+	}},
+	"the expiry of leases at a worker that stands still": {func(g *guards) { g.leaseExpiry = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		w.workers[0].stall(4 * time.Second)
+	}},
+	"the age of batches": {func(g *guards) { g.batchAge = false }, 300 * ms, 8 * time.Second, func(w *world) {
+		w.after(time.Second, func() { // the first job has ended
+			d := w.random(2400*ms, 3200*ms)
+			for _, s := range w.sidecars {
+				w.cutLink(w.entries[0].id.Instance, s.id.Instance, d)
+			}
+			w.submitJob(w.entries[0], 900*ms, time.Second)
+		})
+	}},
+}
--- /dev/null
+++ b/internal/decision/ownership/model_guards_test.go
@@ -0,0 +1,25 @@
+package ownership_test
+
+// guards are the rules that a test can take out, to show that the model finds the fault
+// which the rule prevents.
+type guards struct {
+	// batchAge: a sidecar starts no run of a batch that is too old.
+	// ownerTimeout: a sidecar stops the runs of a silent owner.
+	// leftovers: a new sidecar process stops the runs of its predecessor first.
+	// pause: an entry instance that was paused or cut off gives up its jobs.
+	// leaseLimit: leases end a bounded time after the newest contact with the owners.
+	// droppedLimit: that holds for dropped owners until their runs have ended.
+	// callerCheck: an entry instance starts nothing for a caller that has left.
+	batchAge, ownerTimeout, leftovers, pause, leaseLimit, droppedLimit, callerCheck bool
+	// unanswered: a start call without an answer is voided before the run ends.
+	// fencing: calls of an earlier sidecar process have no effect.
+	// restart: a run that the next worker process may have is stopped there.
+	// leaseExpiry: runs at a worker out of contact end when their leases have expired.
+	// responsive: a sidecar whose batch was abandoned is used again.
+	unanswered, fencing, restart, leaseExpiry, responsive bool
+}
+
+var allGuards = guards{
+	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true,
+}
--- /dev/null
+++ b/internal/decision/ownership/model_supervisor_test.go
@@ -0,0 +1,285 @@
+package ownership_test
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// The timeouts of a sidecar's calls to its worker.
+const (
+	lease             = maxHold - 50*ms
+	leaseExpiryMargin = 70 * ms
+	startStopTimeout  = 40 * ms
+	statusTimeout     = 80 * ms
+	statusInterval    = 30 * ms
+	workerTimeout     = 500 * ms
+	tokenStep         = int64(10 * time.Minute / ms)
+)
+
+// report is a worker's report about itself.
+type report struct {
+	id       string
+	born     int64
+	sequence uint64
+}
+
+// supervisor is the part of a sidecar that calls its worker.
+type supervisor struct {
+	worker *worker
+	token  int64
+	report report
+	// reportedAt is the time of the newest report, and statusBorn the life that has sent
+	// the newest status.
+	reportedAt time.Duration
+	statusBorn int64
+
+	lastSeenEnd, refusals              uint64
+	clockOffset                        time.Duration
+	clockKnown, inContact, unackedEnds bool
+	lastStatusAt, leasesExpireAt       time.Duration
+	// waiting is true while no status is requested, until a wake.
+	waiting, wakePending bool
+	connectedLife        int
+	setIncarnation       int64
+}
+
+// callWorker makes a call to the worker and handles the result. A pause of the sidecar
+// can come before the call and before the result.
+func (s *sidecarProcess) callWorker(timeout time.Duration, execute func(), done func(callResult)) {
+	w, k := s.world, s.worker
+	to, from := [2]string{s.id.Instance, k.name()}, [2]string{k.name(), s.id.Instance}
+	finished := false
+	finish := func(r callResult) {
+		if !finished {
+			finished = true
+			s.dropSilentOwners()
+			done(r)
+			s.step()
+		}
+	}
+	s.after(timeout, func() { finish(lost) })
+	s.after(w.random(0, ms), func() {
+		if !k.up && w.cut[to]+w.cut[from] == 0 {
+			s.after(ms, func() { finish(refused) })
+			return
+		}
+		// Behind a cut there is no connection to a life that began after the cut.
+		if w.cut[to]+w.cut[from] == 0 {
+			s.connectedLife = k.life
+		}
+		life := s.connectedLife
+		w.after(w.random(0, ms), func() {
+			w.deliver(to, func() {
+				if !finished && w.cut[from] == 0 {
+					life = k.life // a call in flight may reach the next life
+				}
+				if w.now < k.lateUntil && w.rnd.Intn(2) == 0 {
+					w.after(w.random(2*time.Second, 12*time.Second), func() { k.do(life, execute) })
+					return
+				}
+				k.do(life, func() {
+					execute()
+					delay := w.random(0, 2*ms)
+					if w.now < k.slowUntil {
+						delay = w.random(0, 120*ms)
+					}
+					w.after(delay, func() {
+						if w.cut[from] == 0 {
+							s.do(func() { finish(answered) })
+						}
+					})
+				})
+			})
+		})
+	})
+}
+
+// requestLease returns the end of leases that begin now, on the worker's clock.
+func (s *sidecarProcess) requestLease() time.Duration {
+	now := s.clock()
+	end := now + lease
+	for _, o := range s.owners {
+		if g := s.world.guards; o.busy(s) && g.leaseLimit && (o.Live() || g.droppedLimit) {
+			end = min(end, o.LastContact()+ownership.LeaseAfterContact)
+		}
+	}
+	end = max(end, now)
+	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
+	return end + s.clockOffset
+}
+
+func (s *sidecarProcess) setWorkerClock(clock time.Duration) {
+	s.clockOffset, s.clockKnown = clock-s.clock(), true
+}
+
+func (s *sidecarProcess) startRun(run work.RunID) {
+	c := startCall{id: s.report.id, run: run, token: s.token, leaseEnd: s.requestLease(), owner: s.started[run], duration: s.world.jobs[run.Task.Job].duration}
+	var reply startReply
+	s.callWorker(startStopTimeout, func() { reply = s.worker.start(c) }, func(r callResult) {
+		switch r {
+		case refused:
+			reply.result = occupancy.Rejected
+		case lost:
+			reply.result = occupancy.Unanswered
+			if !s.world.guards.unanswered {
+				reply.result = occupancy.Rejected
+			}
+		case answered:
+			s.setWorkerClock(reply.clock)
+			if reply.fenced {
+				s.token += tokenStep
+			}
+		}
+		s.m.StartAnswered(s.clock(), run, reply.result, "")
+		s.wakePoll()
+	})
+}
+
+func (s *sidecarProcess) stopRun(run work.RunID) {
+	ok, token := false, s.token
+	s.callWorker(startStopTimeout, func() { ok = s.worker.stop(token, run) }, func(r callResult) {
+		if r == answered && ok {
+			s.m.StopConfirmed(s.clock(), run)
+			s.wakePoll()
+		}
+	})
+}
+
+func (s *sidecarProcess) wakePoll() {
+	if !s.waiting {
+		s.wakePending = true
+		return
+	}
+	s.waiting, s.lastStatusAt = false, s.clock()
+	s.after(0, s.pollStatus)
+}
+
+// pollStatus requests the worker's status, one at a time, while runs may be active.
+func (s *sidecarProcess) pollStatus() {
+	s.dropSilentOwners()
+	defer s.step()
+	c := statusCall{token: s.token, lastSeen: s.lastSeenEnd}
+	s.unackedEnds = false
+	if s.inContact && s.clockKnown && s.m.NumActive() > 0 {
+		c.leaseEnd = s.requestLease()
+	}
+	requestedAt := s.clock()
+	var reply statusReply
+	s.callWorker(statusTimeout, func() { reply = s.worker.status(c) }, func(r callResult) {
+		if r == answered {
+			s.refusals = 0
+			s.waiting = s.handleStatus(requestedAt, reply)
+			if s.waiting && s.wakePending {
+				s.waiting = false
+			}
+			s.wakePending = false
+		} else {
+			s.handleStatusFailure(requestedAt, r)
+		}
+		if !s.waiting {
+			s.after(statusInterval, s.pollStatus)
+		}
+	})
+}
+
+// handleStatus handles a status, and reports whether polling can pause.
+func (s *sidecarProcess) handleStatus(requestedAt time.Duration, reply statusReply) bool {
+	now := s.clock()
+	if reply.fenced {
+		s.token += tokenStep
+		return false
+	}
+	if reply.born != s.statusBorn {
+		s.statusBorn = reply.born
+		if reply.born != s.report.born {
+			s.lastSeenEnd = 0
+			s.setWorker(occupancy.Worker{Incarnation: reply.born})
+		}
+	}
+	s.setWorkerClock(reply.clock)
+	s.inContact, s.lastStatusAt = true, now
+	if reply.newestEnd > s.lastSeenEnd {
+		s.lastSeenEnd, s.unackedEnds = reply.newestEnd, true
+	}
+	status := occupancy.WorkerStatus{RequestedAt: requestedAt}
+	for _, run := range reply.running {
+		if s.world.guards.leftovers || !s.started[run].IsZero() {
+			status.Running = append(status.Running, occupancy.Progress{Run: run, Percent: int(s.world.now / ms)})
+		}
+	}
+	for _, e := range reply.ended {
+		status.Ended = append(status.Ended, occupancy.EndedRun{Run: e.run, Outcome: e.outcome})
+	}
+	s.m.ApplyStatus(now, status)
+	return !s.unackedEnds && s.m.NumActive() == 0
+}
+
+func (s *sidecarProcess) handleStatusFailure(requestedAt time.Duration, r callResult) {
+	now := s.clock()
+	if r == refused {
+		s.refusals++
+	} else {
+		s.refusals = 0
+	}
+	if s.refusals >= 2 {
+		s.inContact = false
+		s.m.WorkerExited(now, requestedAt)
+	}
+	if now-s.lastStatusAt > workerTimeout {
+		s.inContact = false
+	}
+	if !s.inContact && (now > s.leasesExpireAt || !s.world.guards.leaseExpiry) {
+		s.m.LeasesExpired(now)
+	}
+}
+
+func (s *sidecarProcess) handleReport(r report) {
+	s.dropSilentOwners()
+	defer s.step()
+	old := s.report
+	sameLife := r.id == old.id && r.born == old.born
+	if r.born < old.born || sameLife && r.sequence <= old.sequence {
+		return
+	}
+	s.report, s.reportedAt = r, s.clock()
+	if !sameLife {
+		s.lastSeenEnd, s.inContact = 0, false
+	}
+	s.setWorker(occupancy.Worker{ID: r.id, Incarnation: r.born, Capacity: work.Resources{MilliCPU: 4000, MemoryMB: 1000}})
+	if !sameLife {
+		s.wakePoll()
+	}
+}
+
+func (s *sidecarProcess) setWorker(next occupancy.Worker) {
+	if !s.world.guards.restart && next.Incarnation != s.setIncarnation {
+		s.m.WorkerExited(s.clock(), s.clock()) // takes each run for one of the earlier process
+	}
+	s.setIncarnation = next.Incarnation
+	s.m.SetWorker(s.clock(), next)
+}
+
+func (s *sidecarProcess) updateAvailability() {
+	reporting := s.report.id != "" && s.report.born == s.statusBorn && s.clock()-s.reportedAt < 3*reportInterval
+	s.m.SetWorkerAvailable(s.clock(), reporting && s.inContact && s.clockKnown)
+}
+
+// sortedRuns returns the keys of a map of runs in a fixed order.
+func sortedRuns[V any](runs map[work.RunID]V) []work.RunID {
+	list := make([]work.RunID, 0, len(runs))
+	for run := range runs {
+		list = append(list, run)
+	}
+	slices.SortFunc(list, func(a, b work.RunID) int {
+		if c := strings.Compare(a.Task.Job, b.Task.Job); c != 0 {
+			return c
+		}
+		return (a.Task.Index-b.Task.Index)*1000 + a.Attempt - b.Attempt
+	})
+	return list
+}
--- a/internal/decision/ownership/model_test.go
+++ b/internal/decision/ownership/model_test.go
@@ -14,21 +14,6 @@
 
 const ms = time.Millisecond
 
-// guards are the rules of the model that a test can take out, to show that the model
-// finds the fault which the rule prevents.
-type guards struct {
-	// batchAge: a sidecar starts no run of a batch that is too old.
-	// ownerTimeout: a sidecar stops the runs of a silent owner.
-	// leftovers: a new sidecar process stops the runs of its predecessor first.
-	// pause: an entry instance that was paused or cut off gives up its jobs.
-	// leaseLimit: leases end a bounded time after the newest contact with the owners.
-	// droppedLimit: they do so also for runs of dropped owners.
-	// callerLeft: an entry instance admits no job whose caller has left.
-	batchAge, ownerTimeout, leftovers, pause, leaseLimit, droppedLimit, callerLeft bool
-}
-
-var allGuards = guards{true, true, true, true, true, true, true}
-
 // world is one run of the model in virtual time: callers, entry instances, sidecars with
 // workers, and a network between them that delays, holds back and loses messages.
 type world struct {
@@ -36,17 +21,16 @@
 	rnd      *rand.Rand
 	now      time.Duration
 	sequence int
-	events   eventHeap
-	entries  []*entryProcess
-	sidecars []*sidecarProcess
-	workers  []*worker
-	jobs     map[string]*callerJob
+	// clockStep is the sum of the steps of the time of day.
+	clockStep time.Duration
+	events    eventHeap
+	entries   []*entryProcess
+	sidecars  []*sidecarProcess
+	workers   []*worker
+	jobs      map[string]*callerJob
 	// cut counts the faults that hold back messages, by sender and receiver.
 	cut  map[[2]string]int
 	held []heldMessage
-	// unanswered is the share of the orders to workers that get no answer and are carried
-	// out seconds later, and unansweredStops that of the stops if it is higher.
-	unanswered, unansweredStops float64
 	// violations describe the broken rules.
 	violations []string
 	completed  int
@@ -150,22 +134,28 @@
 // send delivers a message to a process after the delay of the network. While the link is
 // cut the message is held back.
 func (w *world) send(from, to string, receiver *process, f func()) {
-	w.transmit(from, to, func() { receiver.do(f) })
-}
-
-// transmit calls arrive when a message reaches the machine of its receiver, which may be
-// paused.
-func (w *world) transmit(from, to string, arrive func()) {
 	w.after(w.random(ms, 6*ms), func() {
-		link := [2]string{from, to}
-		if w.cut[link] > 0 {
-			w.held = append(w.held, heldMessage{link, arrive})
-			return
-		}
-		arrive()
+		w.deliver([2]string{from, to}, func() { receiver.do(f) })
 	})
 }
 
+// deliver delivers a message that has passed a link, or holds it back while the link is
+// cut.
+func (w *world) deliver(link [2]string, deliver func()) {
+	if w.cut[link] > 0 {
+		w.held = append(w.held, heldMessage{link, deliver})
+		return
+	}
+	deliver()
+}
+
+// epoch is the time of day at which the world begins.
+const epoch = 1000 * time.Hour
+
+// timeOfDay is the clock of the sidecars that may step. The fencing token of a process is
+// its start on this clock.
+func (w *world) timeOfDay() time.Duration { return epoch + w.now + w.clockStep }
+
 // setCut cuts or heals a link. When it heals, the messages held back arrive.
 func (w *world) setCut(from, to string, on bool) {
 	link := [2]string{from, to}
--- a/internal/decision/ownership/model_worker_test.go
+++ b/internal/decision/ownership/model_worker_test.go
@@ -1,167 +1,140 @@
 package ownership_test
 
 import (
+	"fmt"
 	"time"
 
-	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
-	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// worker runs tasks under leases. It outlives the processes of its sidecar.
+const (
+	// maxHold is the longest lease that a worker grants.
+	maxHold = time.Second
+	// stopTimeout is the longest time that a stopped run takes to end.
+	stopTimeout = 50 * ms
+	// reportInterval is the time between two reports of a worker.
+	reportInterval = 1500 * ms
+)
+
+// worker runs tasks under leases. It outlives the processes of its sidecar, and may crash
+// and come back as a new life that knows nothing of the earlier one.
 type worker struct {
-	world   *world
-	index   int
-	running map[work.RunID]bool
-	// leaseEnd is the end of the leases of all runs.
+	world *world
+	index int
+	// life counts the lives. A connection belongs to one of them.
+	life int
+	up   bool
+	// id and born identify a life to others; id may be that of the life before.
+	id       string
+	born     int64
+	sequence uint64
+	// bornAt and rate define the clock of the worker, which begins at zero.
+	bornAt time.Duration
+	rate   float64
+
+	running map[work.RunID]*runningTask
+	highest map[work.TaskID]int
+	ended   []endedTask
+	lastEnd uint64
+	token   int64 // highest fencing token seen
+	// leaseEnd is the end of all leases, on the worker's clock.
 	leaseEnd time.Duration
-	highest  map[work.TaskID]int
-	ended    []endedTask
-	token    int64 // highest fencing token seen
+
+	// stalled is true while the worker stands still; later holds the calls of that time.
+	stalled bool
+	later   []func()
+	// Until lateUntil some calls are carried out seconds later and get no answer. Until
+	// slowUntil runs and answers take longer.
+	lateUntil, slowUntil time.Duration
 }
 
+type runningTask struct{ stopping bool }
+
 type endedTask struct {
+	number  uint64
 	run     work.RunID
 	outcome work.Outcome
 }
 
-const (
-	lease             = 950 * ms
-	leaseExpiryMargin = 70 * ms
-	// orderTimeout is the time after which a sidecar no longer waits for the answer to an
-	// order, and workerTimeout the time without a status after which it extends no leases.
-	orderTimeout  = 40 * ms
-	workerTimeout = 500 * ms
-)
+func (k *worker) name() string { return fmt.Sprint("worker-", k.index) }
 
-// accept reports whether an order with a fencing token has an effect.
-func (k *worker) accept(token int64) bool {
-	if token < k.token {
-		return false
-	}
-	k.token = token
-	return true
-}
-
-// start starts a run, and checks that no other run of the task is running anywhere.
-func (k *worker) start(token int64, run work.RunID, owner ident.Process, leaseEnd, duration time.Duration) bool {
-	if !k.accept(token) {
-		return false
-	}
-	k.leaseEnd = max(k.leaseEnd, leaseEnd)
-	if run.Attempt <= k.highest[run.Task] || k.leaseEnd <= k.world.now {
-		return false
-	}
-	k.highest[run.Task] = run.Attempt
-	for _, other := range k.world.workers {
-		for running := range other.running {
-			if running.Task == run.Task {
-				k.world.violate(run, "worker %d starts attempt %d of %v while worker %d runs attempt %d", k.index, run.Attempt, run.Task, other.index, running.Attempt)
-			}
-		}
-	}
-	k.world.note("%s worker %d starts task %d attempt %d of %v", run.Task.Job, k.index, run.Task.Index, run.Attempt, owner)
-	k.running[run] = true
-	k.world.jobs[run.Task.Job].started(run, owner)
-	k.world.after(duration, func() { k.end(run, work.Done) })
-	k.watchLease(run)
-	return true
+func (k *worker) clock() time.Duration {
+	return time.Duration(float64(k.world.now-k.bornAt) * k.rate)
 }
 
-func (k *worker) watchLease(run work.RunID) {
-	k.world.after(k.leaseEnd-k.world.now, func() {
-		switch {
-		case !k.running[run]:
-		case k.world.now >= k.leaseEnd:
-			k.end(run, work.Lost)
-		default:
-			k.watchLease(run)
-		}
-	})
+// begin begins a life.
+func (k *worker) begin(id string) {
+	w := k.world
+	k.life++
+	k.id, k.born, k.sequence, k.bornAt, k.rate = id, (epoch + w.now).Milliseconds(), 0, w.now, 1-0.02*w.rnd.Float64()
+	k.running, k.highest = map[work.RunID]*runningTask{}, map[work.TaskID]int{}
+	k.ended, k.lastEnd, k.token, k.leaseEnd = nil, 0, 0, 0
+	k.stalled, k.later, k.up = false, nil, true
+	life := k.life
+	w.after(w.random(0, 300*ms), func() { k.report(life) })
 }
 
-func (k *worker) stop(token int64, run work.RunID) bool {
-	if !k.accept(token) {
-		return false
+// crash ends the life; the next one begins after a delay.
+func (k *worker) crash(delay time.Duration, sameID bool) {
+	if !k.up {
+		return
+	}
+	w := k.world
+	w.note("%s crashes for %v, same identifier %v", k.name(), delay, sameID)
+	k.up = false
+	clear(k.running)
+	id := k.id
+	if !sameID {
+		id = fmt.Sprintf("%s-%d", k.name(), k.life+1)
 	}
-	k.highest[run.Task] = max(k.highest[run.Task], run.Attempt)
-	k.end(run, work.Lost)
-	return true
+	w.after(delay, func() { k.begin(id) })
 }
 
-// end ends a run unless it has ended before.
-func (k *worker) end(run work.RunID, outcome work.Outcome) {
-	if !k.running[run] {
+// report sends reports to the sidecar until the life ends.
+func (k *worker) report(life int) {
+	if k.life != life || !k.up {
 		return
 	}
-	k.world.note("%s worker %d ends task %d attempt %d: %v", run.Task.Job, k.index, run.Task.Index, run.Attempt, outcome)
-	delete(k.running, run)
-	k.ended = append(k.ended, endedTask{run, outcome})
+	k.sequence++
+	r := report{k.id, k.born, k.sequence}
+	w := k.world
+	link := [2]string{k.name(), fmt.Sprint("side-", k.index)}
+	deliver := func() {
+		s := w.sidecars[k.index]
+		s.do(func() { s.handleReport(r) })
+	}
+	w.after(w.random(0, 2*ms), func() { w.deliver(link, deliver) })
+	w.after(reportInterval, func() { k.report(life) })
 }
 
-// order sends an order to the worker, which leaves a share of such orders unanswered. A
-// pause of the sidecar can come before the order and before the answer.
-func (s *sidecarProcess) order(unanswered float64, carryOut func(), done func(answered bool)) {
-	w := s.world
-	s.after(w.random(0, ms), func() {
-		answered, delay := w.rnd.Float64() >= unanswered, w.random(0, 2*ms)
-		if answered {
-			carryOut()
-		} else {
-			delay = orderTimeout
-			w.after(w.random(2*time.Second, 6*time.Second), carryOut)
-		}
-		s.after(delay, func() {
-			s.dropSilentOwners()
-			done(answered)
-			s.step()
-		})
-	})
+// do carries out a call of a connection to a life, at once or when the worker wakes.
+func (k *worker) do(life int, f func()) {
+	switch {
+	case !k.up || k.life != life:
+	case k.stalled:
+		k.later = append(k.later, f)
+	default:
+		f()
+	}
 }
 
-// poll requests the worker's status at regular intervals and extends the leases.
-func (s *sidecarProcess) poll() {
-	s.dropSilentOwners()
-	s.step()
-	k := s.worker
-	status := occupancy.WorkerStatus{RequestedAt: s.clock()}
-	leaseEnd := time.Duration(0)
-	if s.m.NumActive() > 0 && s.inContact() {
-		leaseEnd = s.leaseEnd()
+func (k *worker) stall(d time.Duration) {
+	if k.stalled || !k.up {
+		return
 	}
-	seen, fenced := 0, false
-	s.order(s.world.unanswered, func() {
-		if fenced = !k.accept(s.token); fenced {
+	w, life := k.world, k.life
+	w.note("%s stands still for %v", k.name(), d)
+	k.stalled = true
+	w.after(d, func() {
+		if k.life != life || !k.up {
 			return
 		}
-		k.leaseEnd = max(k.leaseEnd, leaseEnd)
-		for run := range k.running {
-			if s.world.guards.leftovers || !s.started[run].IsZero() {
-				status.Running = append(status.Running, occupancy.Progress{Run: run, Percent: int(s.world.now / ms)})
-			}
-		}
-		seen = len(k.ended)
-	}, func(answered bool) {
-		s.after(30*ms, s.poll)
-		if !answered {
-			if !s.inContact() && s.clock() > s.leasesExpireAt {
-				s.m.LeasesExpired(s.clock())
-			}
-			s.m.SetWorkerAvailable(s.clock(), s.inContact())
-			return
+		k.stalled = false
+		later := k.later
+		k.later = nil
+		w.rnd.Shuffle(len(later), func(i, j int) { later[i], later[j] = later[j], later[i] })
+		for _, f := range later {
+			f()
 		}
-		if fenced {
-			return
-		}
-		s.statusAt = s.clock()
-		s.m.SetWorkerAvailable(s.clock(), true)
-		for _, e := range k.ended[min(s.lastSeen, seen):seen] {
-			status.Ended = append(status.Ended, occupancy.EndedRun{Run: e.run, Outcome: e.outcome})
-		}
-		s.lastSeen = max(s.lastSeen, seen)
-		s.m.ApplyStatus(s.clock(), status)
 	})
 }
-
-// inContact reports whether the worker answers status requests.
-func (s *sidecarProcess) inContact() bool { return s.clock()-s.statusAt <= workerTimeout }
