broker: the first tick may come while the timer is being stored

Seen by the race detector in 2 of 28 runs of TestClusterFaultyWorkers on a loaded machine: New stored the timer while the first tick, 150 ms after its creation, read it to set the next one. With a lost store the tick would have met a nil timer. New stores it under the mutex that each tick takes.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -113,7 +113,9 @@
 		b.listener.Close()
 		return nil, errors.Trace(err)
 	}
+	b.mu.Lock() // the first tick may come before AfterFunc has returned
 	b.tickTimer = time.AfterFunc(maxTickInterval, b.onTimer)
+	b.mu.Unlock()
 	return b, nil
 }
 
