runner: a start call ends also if the worker reports another address meanwhile

What callers would see: a worker with less room for good, and a job that is answered only at its deadline.

Interleaving: at 0 ms a start call is sent. At 10 ms a report with another address replaces the supervisor. At 40 ms the call ends, and its result is dropped because its supervisor is not the current one. The machine waits for each result before a run can end, so the run stays in the phase starting; a stop, the expiry of the leases or the next restart do not end it either.

Change: the result always reaches the machine, which treats the run as one of the process before a restart.

TestStartAnsweredAfterNewAddress failed before: "1 runs are active on a worker that executes none". Found by reading.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
@@ -73,3 +75,25 @@
 		t.Error("a late report of the incarnation that has exited is taken for news")
 	}
 }
+
+// Guards against a run that occupies capacity for good because the answer to its start call
+// arrives after the worker has reported another address.
+func TestStartAnsweredAfterNewAddress(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	s := r.supervisor
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r.mu.Lock()
+	r.machine.Submit(clock.SinceBoot(), ident.Process{Instance: "entry"}, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
+	r.machine.Actions() // the test sends the start call
+	r.mu.Unlock()
+	next := report(2, 1)
+	next.Address = "127.0.0.1:2"
+	r.HandleReport(next)
+	s.handleStartReply(run, StartReply{Result: occupancy.Accepted})
+	r.supervisor.handleStatus(clock.SinceBoot()+time.Millisecond, StatusReply{Incarnation: 2, ClockMs: 3})
+	if active := r.machine.NumActive(); active != 0 {
+		t.Errorf("%d runs are active on a worker that executes none", active)
+	}
+}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -125,15 +125,13 @@
 	r := s.runner
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
-	if r.supervisor != s {
-		return
-	}
 	if reply.ClockMs > 0 { // replies to start calls may lack the clock
 		s.setClockOffset(now, reply.ClockMs)
 	}
 	if reply.Fenced {
 		s.fencingToken += fencingTokenStep
 	}
+	// A replaced supervisor's call also has to end: the machine waits for each answer.
 	if reply.Result == occupancy.Unanswered {
 		event.LogRateLimited(event.OrderUnanswered, "order", "start", "job", run.Task.Job, "task", run.Task.Index, "worker", r.report.ID, "reason", reply.Reason)
 	}
