runner: the deregistration of an earlier worker process does not close the next one

What callers would see: a worker without new runs, and its queued runs returned, for up to a report interval (1.5 s) each time that it restarts quickly.

Interleaving: process 1 sends its deregistration and exits without an answer; it is held up on the way. Process 2 starts under the same ID at 0.2 s and has reported and answered a status by 0.5 s. The message of process 1 then arrives and counts as that of process 2, until its next report.

Change: the deregistration names the start time of its process, as all that a worker says of itself; one that names another process than that of the newest report is ignored. One that names none is handled as before.

TestDeregistrationOfExitedProcess failed before: "the worker accepts no runs after the deregistration of its predecessor". Found by reading.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -39,7 +39,7 @@
 	r.HandleReport(report(1, 1))
 	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Fenced: true})
 	token := r.workerInfo().FencingToken
-	r.HandleDeregistration("i-1")
+	r.HandleDeregistration("i-1", 1)
 	if got := r.workerInfo().FencingToken; got < token {
 		t.Errorf("token %d after the worker has left, %d before", got, token)
 	}
@@ -97,3 +97,19 @@
 		t.Errorf("%d runs are active on a worker that executes none", active)
 	}
 }
+
+// Guards against a worker that is closed by the late deregistration of its predecessor.
+func TestDeregistrationOfExitedProcess(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	r.HandleReport(report(2, 1))
+	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 5})
+	r.HandleDeregistration("i-1", 1)
+	if !r.machine.AcceptsRuns() {
+		t.Error("the worker accepts no runs after the deregistration of its predecessor")
+	}
+	r.HandleDeregistration("i-1", 2)
+	if r.machine.AcceptsRuns() {
+		t.Error("the worker accepts runs after its own deregistration")
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -71,11 +71,12 @@
 	return incarnation == r.statusIncarnation && r.statusRequestedAt > r.reportedAt
 }
 
-// HandleDeregistration handles the message of a worker that it is about to exit.
-func (r *Runner) HandleDeregistration(id string) {
+// HandleDeregistration handles the message of a worker incarnation that it is about to exit.
+// An incarnation of zero is unknown.
+func (r *Runner) HandleDeregistration(id string, incarnation int64) {
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
-	if id != r.report.ID {
+	if id != r.report.ID || incarnation != 0 && incarnation != r.report.Incarnation {
 		return
 	}
 	r.workerLeft = true
