membership: a sidecar that a late message has made Dead may return

What callers of the Job API would see: less capacity for minutes, and tasks answered with "may have run", at an entry instance that has been paused.

Interleaving: sidecar process 1 sends its first Attach to an entry instance that is paused since 0 s, and is killed; process 2 starts and sends its own at 1 s. The entry instance resumes at 2 s and reads that of process 2 first. The Attach of process 1 then counts as that of a newer process, because incarnation numbers are random, and makes process 2 Dead. Only the current incarnation may return, which is process 1, so each later Attach of process 2 was refused until the retention time has passed.

Entry instances, which never return, are not affected.

TestReturnAfterLateMessage failed before: "a live incarnation may not return although the other one is silent". TestDeadStaysDead and TestMayReturn pass unchanged. Found by reading.

--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -38,7 +38,9 @@
 	// Retain is the time for which a Dead member is kept in the table.
 	Retain time.Duration
 	// MayReturn allows a Dead incarnation to become Live again when it makes
-	// contact, provided that no newer incarnation of the instance has been seen.
+	// contact, provided that no other incarnation of the instance has been in contact
+	// within SilentAfter. Incarnation numbers have no order, so a late message of a
+	// process that has ended may have made its successor Dead.
 	// It must be false if the user of the table reacts to a Dead member in a way
 	// that can't be undone.
 	MayReturn bool
@@ -87,14 +89,16 @@
 // false if the incarnation is Dead and must not be used again.
 func (t *Table) RecordContact(now time.Duration, p wire.Peer, rack string, window uint64) bool {
 	m := t.members[p.Process]
-	if m != nil && m.State == Dead && !(t.cfg.MayReturn && t.current[p.Process.Instance] == p.Process) {
+	if m != nil && m.State == Dead && !t.mayReturn(now, p.Process) {
 		return false
 	}
-	if m == nil {
+	if m == nil || m.State == Dead {
 		t.markReplaced(now, p.Process)
+		t.current[p.Process.Instance] = p.Process
+	}
+	if m == nil {
 		m = &Member{FirstSeen: now, StateSince: now, FirstWindow: window, State: Live}
 		t.members[p.Process] = m
-		t.current[p.Process.Instance] = p.Process
 	}
 	m.Peer, m.Rack, m.LastSeen = p, rack, now
 	m.LastWindow = max(m.LastWindow, window)
@@ -105,6 +109,12 @@
 	return true
 }
 
+// mayReturn reports whether a Dead incarnation may become Live again.
+func (t *Table) mayReturn(now time.Duration, p ident.Process) bool {
+	current := t.members[t.current[p.Instance]]
+	return t.cfg.MayReturn && (current == nil || current.Peer.Process == p || now-current.LastSeen > t.cfg.SilentAfter)
+}
+
 // markReplaced marks the earlier incarnation of the same instance Dead.
 func (t *Table) markReplaced(now time.Duration, p ident.Process) {
 	old, ok := t.current[p.Instance]
--- a/internal/decision/membership/membership_test.go
+++ b/internal/decision/membership/membership_test.go
@@ -138,3 +138,27 @@
 		}
 	}
 }
+
+// Guards against a live incarnation that stays Dead for the retention time because a late
+// message of one that had ended before was taken for that of its successor.
+func TestReturnAfterLateMessage(t *testing.T) {
+	table := New(Config{SilentAfter: 3, DeadAfter: 10, Retain: 1000, MayReturn: true})
+	ended, live := peer("a", 1, "z"), peer("a", 2, "z")
+	table.RecordContact(0, live, "r", 0)
+	table.RecordContact(1, ended, "r", 0) // delivered when a partition heals
+	for now := time.Duration(2); now <= 4; now++ {
+		if table.RecordContact(now, live, "r", 0) {
+			t.Fatalf("at %d: a replaced incarnation returned while its successor is in contact", now)
+		}
+	}
+	if !table.RecordContact(5, live, "r", 0) {
+		t.Fatal("a live incarnation may not return although the other one is silent")
+	}
+	table.Tick(5)
+	if members := table.InState(Live); len(members) != 1 || members[0].Peer != live {
+		t.Fatalf("live: %v", members)
+	}
+	if table.RecordContact(6, ended, "r", 0) {
+		t.Fatal("the incarnation that has ended returned")
+	}
+}
