--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
@@ -36,7 +38,7 @@
 	r.HandleReport(report(1, 1))
 	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Fenced: true})
 	token := r.workerInfo().FencingToken
-	r.HandleDeregistration("i-1")
+	r.HandleDeregistration("i-1", 1)
 	if got := r.workerInfo().FencingToken; got < token {
 		t.Errorf("token %d after the worker has left, %d before", got, token)
 	}
@@ -72,3 +74,41 @@
 		t.Error("a late report of the incarnation that has exited is taken for news")
 	}
 }
+
+// Guards against a run that occupies capacity for good because the answer to its start call
+// arrives after the worker has reported another address.
+func TestStartAnsweredAfterNewAddress(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	s := r.supervisor
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r.mu.Lock()
+	r.machine.Submit(clock.SinceBoot(), ident.Process{Instance: "entry"}, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
+	r.machine.Actions() // the test sends the start call
+	r.mu.Unlock()
+	next := report(2, 1)
+	next.Address = "127.0.0.1:2"
+	r.HandleReport(next)
+	s.handleStartReply(run, StartReply{Result: occupancy.Accepted})
+	r.supervisor.handleStatus(clock.SinceBoot()+time.Millisecond, StatusReply{Incarnation: 2, ClockMs: 3})
+	if active := r.machine.NumActive(); active != 0 {
+		t.Errorf("%d runs are active on a worker that executes none", active)
+	}
+}
+
+// Guards against a worker that is closed by the late deregistration of its predecessor.
+func TestDeregistrationOfExitedProcess(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	r.HandleReport(report(2, 1))
+	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 5})
+	r.HandleDeregistration("i-1", 1)
+	if !r.machine.AcceptsRuns() {
+		t.Error("the worker accepts no runs after the deregistration of its predecessor")
+	}
+	r.HandleDeregistration("i-1", 2)
+	if r.machine.AcceptsRuns() {
+		t.Error("the worker accepts runs after its own deregistration")
+	}
+}
