--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -96,7 +96,7 @@
 	const token = 7
 	r.supervisor = &supervisor{runner: r, fencingToken: token}
 	r.report.ID = "w"
-	r.HandleDeregistration("w")
+	r.HandleDeregistration("w", 0)
 	if info := r.workerInfo(); info.FencingToken != token || info.Worker != "" {
 		t.Errorf("heartbeats say %+v, want the token %d and no worker", info, token)
 	}
