broker: an impossible load summary in the reply to a batch changes nothing

Operators would see an entry instance that answers "no worker" while the worker sends heartbeats: after one reply with an impossible load summary of a high version, all later heartbeats counted as older, and the summary stayed in use. A clock of -2^63 ms also made all later batches look delayed to the sidecar.

Heartbeats and reports were checked, replies were not. A reply is now handled as that to a batch that has arrived, without its load summary.

TestImpossibleLoadInReply failed for all of its summaries before.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -151,8 +151,12 @@
 	b := c.broker
 	b.machine.SetUnresponsive(c.sidecar, false)
 	if !reply.Rejected {
-		c.noteClock(now, &reply.Load)
-		b.machine.SetLoad(now, c.sidecar, reply.Load)
+		if err := reply.Load.Validate(); err != nil {
+			_ = rejectMessage(c.sidecar, err) // the batch has arrived; only its load summary is ignored
+		} else {
+			c.noteClock(now, &reply.Load)
+			b.machine.SetLoad(now, c.sidecar, reply.Load)
+		}
 		if !reply.Stale {
 			return placement.Batch{}
 		}
