wire: versions, sessions and sequence numbers that can't be reached are rejected

Operators would see a worker that gets no jobs from an entry instance, or whose runs never start, although all processes are in contact: a heartbeat with the session or version 2^63 made all later ones older for good, and after a batch with the sequence number 2^63 a sidecar acknowledged all later batches of that entry instance as known without starting their runs.

These numbers start at most at a time in milliseconds and rise with each message, so that 2^53 bounds them.

--- a/internal/broker/reply_test.go
+++ b/internal/broker/reply_test.go
@@ -88,12 +88,29 @@
 	}
 }
 
+// Guards against a version, session or sequence number that no later one exceeds.
+func TestImpossibleCounters(t *testing.T) {
+	const counter = 1 << 63
+	run := wire.RunRequest{Run: work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}}
+	for name, err := range map[string]error{
+		"heartbeat's session": (&wire.RunnerHeartbeat{Info: wire.WorkerInfo{Sidecar: replyPeer}, Session: counter}).Validate(),
+		"heartbeat's version": (&wire.RunnerHeartbeat{Info: wire.WorkerInfo{Sidecar: replyPeer}, Load: wire.Load{Version: counter}}).Validate(),
+		"applied batch":       (&wire.Load{AppliedSequence: counter}).Validate(),
+		"batch's sequence":    (&wire.RunBatch{Sequence: counter, Runs: []wire.RunRequest{run}}).Validate(),
+	} {
+		if err == nil {
+			t.Errorf("%s %d is valid", name, uint64(counter))
+		}
+	}
+}
+
 // impossibleLoads are load summaries that no sidecar can send.
 var impossibleLoads = []wire.Load{
 	{Version: 5, ClockMs: -1 << 63, Capacity: replyCapacity},
 	{Version: 5, ClockMs: 5000, Capacity: work.Resources{MilliCPU: -1}},
 	{Version: 5, AcceptsRuns: true, Capacity: replyCapacity, Free: work.Resources{MilliCPU: 1 << 62}},
 	{Version: 5, AcceptsRuns: true, Capacity: replyCapacity, Slowness: math.NaN()},
+	{Version: 1 << 63, ClockMs: 5000, Capacity: replyCapacity},
 }
 
 // Guards against an impossible load summary in a reply, after which a worker gets no jobs.
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -15,10 +15,14 @@
 // maxCount bounds the elements of each list of a message.
 const maxCount = 10_000
 
+// maxCounter bounds versions, sessions and sequence numbers. They start at most at a time in
+// milliseconds and rise with each message, so a higher one would stay the highest for good.
+const maxCounter = uint64(1) << 53
+
 // Validate checks the values of a batch. Errors satisfy errors.IsNotValid.
 func (b *RunBatch) Validate() error {
-	if len(b.Runs) > maxCount || len(b.Stops) > maxCount {
-		return errors.NotValidf("batch of %d runs and %d stops", len(b.Runs), len(b.Stops))
+	if len(b.Runs) > maxCount || len(b.Stops) > maxCount || b.Sequence > maxCounter {
+		return errors.NotValidf("batch %d of %d runs and %d stops", b.Sequence, len(b.Runs), len(b.Stops))
 	}
 	for i := range b.Runs {
 		r := &b.Runs[i]
@@ -47,12 +51,15 @@
 	if h.Info.Sidecar.Process.IsZero() || h.Info.Sidecar.Address == "" || len(h.Info.Labels) > maxCount {
 		return errors.NotValidf("heartbeat of %v at %q with %d labels", h.Info.Sidecar.Process, h.Info.Sidecar.Address, len(h.Info.Labels))
 	}
+	if h.Session > maxCounter {
+		return errors.NotValidf("heartbeat of session %d", h.Session)
+	}
 	return h.Load.Validate()
 }
 
 // Validate checks the values of a load summary. Errors satisfy errors.IsNotValid.
 func (l *Load) Validate() error {
-	valid := l.Capacity.Valid() && l.Free.Valid() && l.Free.FitsIn(l.Capacity) && l.RemainingWork >= 0 &&
+	valid := l.Version <= maxCounter && l.AppliedSequence <= maxCounter && l.Capacity.Valid() && l.Free.Valid() && l.Free.FitsIn(l.Capacity) && l.RemainingWork >= 0 &&
 		math.Abs(float64(l.ClockMs)) <= float64(100*maxMs) && l.Slowness >= 0 && l.Slowness <= math.MaxInt32
 	for rank := range NumRanks {
 		valid = valid && l.QueuedMilliCPU[rank] >= 0 && l.QueuedMilliCPU[rank] <= maxCount*work.MaxAmount && l.RankShare[rank] >= 0 && l.RankShare[rank] <= 1
