runner: a malformed reply to a heartbeat drops no owner and no list of members

Operators would see the runs of a healthy entry instance stopped with "another process answers" after one reply without the name of the process, and a sidecar that attaches to addresses such as "x" in place of entry instances, or holds a list of any length.

Replies to heartbeats were not checked.

TestImpossibleHeartbeatReply failed before: the owner was replaced by a process without a name, and the member "x" was listed. FuzzHeartbeatReplies checks the same for any reply.

--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -150,10 +150,11 @@
 	err := c.rpcClient.CallWithTimeout(r.ctx, callTimeout, wire.ServiceBroker+".Beat", &req, &reply)
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
+	if err == nil {
+		err = c.handleReply(now, sentAt, req.Session, &reply)
+	}
 	if err != nil {
 		c.handleFailure(now, err)
-	} else {
-		c.handleReply(now, sentAt, req.Session, &reply)
 	}
 	if detaching && c.unwanted && (c.owner == nil || !c.owner.busy()) {
 		c.remove(now, "no longer chosen")
@@ -194,8 +195,13 @@
 	c.runner.updateAttachments(now)
 }
 
-// handleReply handles the reply to a heartbeat of a session; mu is held.
-func (c *entryClient) handleReply(now, sentAt time.Duration, session uint64, reply *wire.RunnerHeartbeatReply) {
+// handleReply handles the reply to a heartbeat of a session. It returns an error if the
+// reply is invalid and so has no effect; mu is held.
+func (c *entryClient) handleReply(now, sentAt time.Duration, session uint64, reply *wire.RunnerHeartbeatReply) error {
+	if err := reply.Validate(); err != nil {
+		event.LogRateLimited(event.RPCFrameRejected, "peer", c.address, "err", err)
+		return err
+	}
 	r := c.runner
 	if c.owner == nil || c.owner.process != reply.Entry {
 		if c.owner != nil {
@@ -215,24 +221,35 @@
 	o := c.owner
 	if o.Session() != session {
 		c.wake() // the owner was dropped in the meantime; the next heartbeat reports the new session
-		return
+		return nil
 	}
 	wasLive := o.Live()
 	if !o.HeartbeatAnswered(now, sentAt, session) {
-		return
+		return nil
 	}
 	if !wasLive {
 		event.LogRateLimited(event.OwnerInContact, "owner", o.process.String(), "address", c.address, "session", session)
 	}
 	recovered := c.failingSince > 0 || !wasLive
 	c.failingSince = 0
-	changed := reply.MembersHash != c.membersHash && len(reply.Members) > 0
-	if changed {
-		c.members, c.membersHash = reply.Members, reply.MembersHash
-	}
-	if changed || recovered {
+	if c.updateMembers(reply) || recovered {
 		r.updateAttachments(now)
 	}
+	return nil
+}
+
+// updateMembers takes over the list of entry instances in a reply, and reports whether it
+// has changed. The earlier list stays if the new one is empty or invalid; mu is held.
+func (c *entryClient) updateMembers(reply *wire.RunnerHeartbeatReply) bool {
+	if reply.MembersHash == c.membersHash || len(reply.Members) == 0 {
+		return false
+	}
+	if err := reply.ValidateMembers(); err != nil {
+		event.LogRateLimited(event.RPCFrameRejected, "peer", c.address, "err", err)
+		return false
+	}
+	c.members, c.membersHash = reply.Members, reply.MembersHash
+	return true
 }
 
 // workerInfo returns the description of this sidecar and its worker for a heartbeat;
--- a/internal/runner/entryclient_test.go
+++ b/internal/runner/entryclient_test.go
@@ -16,7 +16,7 @@
 )
 
 // newTestRunner returns a sidecar without entry instances, whose machine accepts runs.
-func newTestRunner(t *testing.T, now time.Duration) *Runner {
+func newTestRunner(t testing.TB, now time.Duration) *Runner {
 	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second}, nil, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 
 	"github.com/juju/errors"
 
@@ -57,6 +58,28 @@
 	return h.Load.Validate()
 }
 
+// Validate checks the values of a reply to a heartbeat, except the list of members. Errors
+// satisfy errors.IsNotValid.
+func (r *RunnerHeartbeatReply) Validate() error {
+	if r.Entry.IsZero() {
+		return errors.NotValidf("reply to a heartbeat without the entry instance")
+	}
+	return nil
+}
+
+// ValidateMembers checks the list of members. Errors satisfy errors.IsNotValid.
+func (r *RunnerHeartbeatReply) ValidateMembers() error {
+	if len(r.Members) > maxCount {
+		return errors.NotValidf("list of %d members", len(r.Members))
+	}
+	for i := range r.Members {
+		if _, err := netip.ParseAddrPort(r.Members[i].Address); err != nil {
+			return errors.NewNotValid(err, "list of members")
+		}
+	}
+	return nil
+}
+
 // Validate checks the values of a load summary. Errors satisfy errors.IsNotValid.
 func (l *Load) Validate() error {
 	valid := l.Version <= maxCounter && l.AppliedSequence <= maxCounter && l.Capacity.Valid() && l.Free.Valid() && l.Free.FitsIn(l.Capacity) && l.RemainingWork >= 0 &&
