--- a/internal/broker/reply_test.go
+++ b/internal/broker/reply_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/placement"
@@ -124,3 +126,27 @@
 		}
 	}
 }
+
+// FuzzRunReplies guards against a reply to a batch with impossible values that ends the
+// process, or after which the worker gets no jobs.
+func FuzzRunReplies(f *testing.F) {
+	add := func(reply wire.RunReply) {
+		data, err := msgpack.Marshal(&reply)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	add(wire.RunReply{Load: wire.Load{Version: 2, AcceptsRuns: true, Capacity: replyCapacity, Free: replyCapacity}})
+	for _, load := range impossibleLoads {
+		add(wire.RunReply{Load: load})
+		add(wire.RunReply{Load: load, Rejected: true})
+	}
+	b := newReplyBroker(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var reply wire.RunReply
+		if msgpack.Unmarshal(data, &reply) == nil {
+			b.checkReply(t, &reply)
+		}
+	})
+}
