--- a/internal/runner/reply_test.go
+++ b/internal/runner/reply_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// newStoppedRunner returns a sidecar that contacts no entry instance.
-func newStoppedRunner(tb testing.TB) *Runner {
+// newDetachedRunner returns a sidecar that contacts no entry instance.
+func newDetachedRunner(tb testing.TB) *Runner {
 	r := newTestRunner(tb, clock.SinceBoot())
 	r.cancel()
 	return r
@@ -71,7 +71,7 @@
 
 // Guards against a malformed reply that replaces the owner, or the list of entry instances.
 func TestImpossibleHeartbeatReply(t *testing.T) {
-	r := newStoppedRunner(t)
+	r := newDetachedRunner(t)
 	for _, reply := range impossibleReplies() {
 		checkHeartbeatReply(t, r, reply)
 		for _, c := range r.entries {
@@ -92,7 +92,7 @@
 		}
 		f.Add(data)
 	}
-	r := newStoppedRunner(f)
+	r := newDetachedRunner(f)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var reply wire.RunnerHeartbeatReply
 		if msgpack.Unmarshal(data, &reply) == nil {
