placement: stop the runs of answered jobs again when a sidecar is back in contact

What callers see: a job ID that is refused as already under way for as long as the session lasts, and in theory two runs of a task: an entry instance gives up a job whose sidecar is out of contact, the batch with the stop is abandoned with it, and 0.1 s later the sidecar is back in the same session, with the run still at work. A sidecar drops an owner after 0.7 s of silence, and the entry instance gives up after 0.9 s; but the last contact of the sidecar may be a batch whose reply was lost, 0.5 s after the entry instance last heard from it.

Evidence: TestBatchRefusedInDoubt failed once in six runs with the race detector on a machine with a load of 50: E8010 0.93 s after the job's answer, and no batch with the stop after it. Its sidecar keeps its session through silence, as the case above. TestStopAfterContactReturns failed before (no batch).

The stops are sent again with the first heartbeat after the silence; a stop of a run that has ended has no effect.

--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// stopAnsweredTasks stops the runs of answered jobs at a worker again. The batch with their
+// first stops may have been abandoned while the sidecar was out of contact.
+func (m *Machine) stopAnsweredTasks(w *worker) {
+	for _, t := range sortedTasks(w) {
+		if t.job.answered {
+			m.stopRun(t)
+		}
+	}
+}
+
 // loseTasks ends all runs at a worker with the outcome work.Lost.
 func (m *Machine) loseTasks(now time.Duration, w *worker, reason string) {
 	w.reservations = nil
--- a/internal/decision/placement/contact_test.go
+++ b/internal/decision/placement/contact_test.go
@@ -36,3 +36,23 @@
 		t.Errorf("answer %+v", a)
 	}
 }
+
+// TestStopAfterContactReturns guards against a run of an answered job that goes on because the
+// batch with its stop was abandoned while the sidecar was out of contact.
+func TestStopAfterContactReturns(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit(newJobSpec("a", 1, 600*ms))
+	run := h.takeRuns()[process(0)][0].Run
+	h.m.CallerLeft(h.now, "a")
+	h.collect()
+	h.takeBatches() // the batch with the stop is abandoned
+	for range 50 {
+		h.now += 20 * ms
+		h.m.Tick(h.now)
+	}
+	h.heartbeat(0, 0, 32000)
+	batches := h.takeBatches()
+	if len(batches) != 1 || len(batches[0].Stops) != 1 || batches[0].Stops[0] != run {
+		t.Errorf("batches %+v after the return, want one that stops %v", batches, run)
+	}
+}
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -75,10 +75,13 @@
 		return "" // reports and replies to batches overtake heartbeats all the time
 	}
 	w.lastContact = now
+	returned := w.unreachable
 	w.unreachable = false
 	if w.session < session {
 		w.session = session
 		m.loseTasks(now, w, "the sidecar dropped all runs of this entry instance")
+	} else if returned {
+		m.stopAnsweredTasks(w)
 	}
 	m.setInfo(w, info)
 	m.SetLoad(now, id, load)
