runner: a withheld heartbeat waits before the next attempt

Cause: heartbeats to the frozen instance had failed, so the next one was planned for a fixed time. The owner was dropped, and no heartbeat is sent before its runs have ended; the planned time stays in the past then, so that the loop goes round without a pause until the stops are confirmed. In operation these are some 50 ms or more of a busy processor at the moment at which the sidecar has to stop runs in time; without processor time it never gets on.

Change: the next attempt is due a heartbeat interval after the last one at the earliest.

--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -80,7 +80,8 @@
 	case c.sendNow:
 		return now
 	case c.failingSince > 0:
-		return c.plannedAt
+		// A heartbeat that was withheld leaves plannedAt in the past.
+		return max(c.plannedAt, c.lastSentAt+heartbeatInterval)
 	case c.owner == nil || !c.owner.Live():
 		return c.lastSentAt + heartbeatInterval
 	case c.owner.busy():
