runner: a status of an exited worker process sets no clock

What callers could see: runs whose leases end later than 1.2 s after the contact with a dropped owner, once, around the restart of a worker.

Interleaving: the status reply of process 1, whose clock is at 480 s, is still unread when the report of process 2 is handled. The reply then sets the clock's offset and the contact. The next status request asks process 2, whose clock began at 0, for leases until 480.95 s; the worker shortens that to its maximum, a second, whatever limit the owners' contact sets.

Change: clock, contact and end numbers are taken only from the process of the newest report or a later one. The ends that an exited process lists are still taken.

TestClockOfExitedProcess failed before: "leases end at 480950 ms on a clock that began anew". TestStatusOfExitedProcess passes unchanged. Found by reading.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -113,3 +113,27 @@
 		t.Error("the worker accepts runs after its own deregistration")
 	}
 }
+
+// Guards against leases in the clock of a worker process that has exited, which its status,
+// handled after the report of the next process, would set.
+func TestClockOfExitedProcess(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 9))
+	s := r.supervisor
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
+	r.mu.Lock()
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r.machine.Submit(clock.SinceBoot(), ident.Process{Instance: "entry"}, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
+	r.machine.Actions() // the test sends the start call, and it does not return
+	r.mu.Unlock()
+	requestedAt := clock.SinceBoot()
+	r.HandleReport(report(2, 1))
+	s.handleStatus(requestedAt, StatusReply{Incarnation: 1, ClockMs: 480000})
+	if req, _ := s.nextStatusRequest(); req.LeaseEndMs != 0 {
+		t.Errorf("leases end at %d ms on a clock that began anew", req.LeaseEndMs)
+	}
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 3})
+	if req, _ := s.nextStatusRequest(); req.LeaseEndMs == 0 || req.LeaseEndMs > 2000 {
+		t.Errorf("leases end at %d ms on a clock that began anew", req.LeaseEndMs)
+	}
+}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -229,14 +229,15 @@
 		return false
 	}
 	r.setStatusIncarnation(now, requestedAt, reply.Incarnation)
-	s.setClockOffset(now, reply.ClockMs)
-	s.inContact = true
-	s.lastStatusAt = now
-	// Each worker process numbers its ends from 1.
-	ofExited := reply.Incarnation != 0 && reply.Incarnation < r.report.Incarnation
-	if reply.NewestEnd > s.lastSeenEnd && !ofExited {
-		s.lastSeenEnd = reply.NewestEnd
-		s.unackedEnds = true
+	if ofExited := reply.Incarnation != 0 && reply.Incarnation < r.report.Incarnation; !ofExited {
+		s.setClockOffset(now, reply.ClockMs)
+		s.inContact = true
+		s.lastStatusAt = now
+		// Each worker process numbers its ends from 1.
+		if reply.NewestEnd > s.lastSeenEnd {
+			s.lastSeenEnd = reply.NewestEnd
+			s.unackedEnds = true
+		}
 	}
 	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: requestedAt, Running: reply.Running, Ended: reply.Ended})
 	r.updateAvailability(now)
