runner: a report with an earlier start time causes a status request

A sidecar without active runs sends no status requests, so found out that the worker runs in an incarnation with an earlier start time only if a run happened to be active within three report intervals of the restart; otherwise the worker stayed closed. Such a report now wakes the polling, and the next report is accepted. A late report of an exited process costs one request.

TestWorkerWithEarlierStartTime failed before: "no status request finds out whether the worker runs in that incarnation".

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -60,10 +60,17 @@
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 50, ClockMs: 480000})
 	requestedAt := r.reportedAt + time.Millisecond
 	s.handleStatus(requestedAt, StatusReply{Incarnation: 100, ClockMs: 480000})
+	select {
+	case <-s.wakeCh:
+	default:
+	}
 	r.HandleReport(report(50, 1))
 	if r.report.Incarnation != 100 {
 		t.Error("a report of an earlier incarnation is taken for news")
 	}
+	if len(s.wakeCh) == 0 {
+		t.Error("no status request finds out whether the worker runs in that incarnation")
+	}
 	s.handleStatus(requestedAt+time.Millisecond, StatusReply{Incarnation: 50, ClockMs: 3})
 	r.HandleReport(report(50, 1))
 	s.handleStatus(requestedAt+2*time.Millisecond, StatusReply{Incarnation: 50, ClockMs: 4})
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -33,6 +33,9 @@
 	case report.Incarnation == r.exitedIncarnation && report.Incarnation != 0:
 		return
 	case report.Incarnation < old.Incarnation && !r.isRunning(report.Incarnation):
+		if r.supervisor != nil {
+			r.supervisor.wake() // without active runs, it sends no status requests
+		}
 		return
 	case report.ID == old.ID && report.Incarnation == old.Incarnation && report.Sequence <= old.Sequence:
 		return
