sidecar: results for an attached owner are not dropped for an earlier incarnation

What callers of the Job API would see: tasks that have ended, but whose job is answered late or with an unknown outcome.

Interleaving: an entry instance ends without closing its connections (its machine is lost) and starts again under its name at another address. From its attachment on, and until the old link has been silent for the entry timeout, the sidecar has links to both incarnations. A result for the new one that waits in the queue for a tick counts as undeliverable, because the sidecar is attached to another incarnation of the owner, and is dropped; only the ledger still has it.

Change: an owner to which the sidecar is attached is not replaced.

TestResultsOfRestartedOwner failed before: "the incarnation that is attached counts as replaced". Found by reading.

--- a/internal/sidecar/results.go
+++ b/internal/sidecar/results.go
@@ -88,8 +88,11 @@
 }
 
 // isReplaced reports whether the sidecar is attached to another incarnation of the
-// owner.
+// owner and not to the owner itself.
 func (s *Sidecar) isReplaced(owner ident.Process) bool {
+	if s.attachedLink(owner) != nil {
+		return false
+	}
 	for _, l := range s.links {
 		p := l.peer.Process
 		if l.attached && p.Instance == owner.Instance && p.Incarnation != owner.Incarnation {
