queues: a watch that returns at once without a change is repeated after a delay

Operators would see the store's rate limit used up and a core in use: if the store, or a proxy in front of it, answers each watch at once and without events, the next call followed without a pause, also after the end of the process' context.

Such a watch is now repeated after 25 to 75 ms, and the loop ends with its context. A change still comes into force at once.

TestWatchWithoutWait did not end before: the loop also ignored its context.

--- a/internal/queues/controller.go
+++ b/internal/queues/controller.go
@@ -85,16 +85,22 @@
 	}
 }
 
-// watch applies changes of the source until a call fails.
+// watch applies changes of the source until a call fails or ctx ends. A watch that
+// returns at once without a change is repeated after a delay.
 func (c *Controller) watch(ctx context.Context, position uint64) error {
-	for {
+	for ctx.Err() == nil {
+		startedAt := time.Now()
 		config, next, err := c.source.Watch(ctx, position)
 		if err != nil {
 			return err
 		}
 		position = next
 		c.Apply(config, "store")
+		if config == nil && time.Since(startedAt) < minRetryDelay {
+			clock.Sleep(ctx, minRetryDelay/2+rand.N(minRetryDelay))
+		}
 	}
+	return ctx.Err()
 }
 
 // recordSourceResult records the result of a call to the source, and logs when
--- a/internal/queues/queues_test.go
+++ b/internal/queues/queues_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -123,3 +124,26 @@
 	}
 	t.Fatalf("version %d is not in force after 10 s", version)
 }
+
+// emptySource is a Source whose watches return at once and report no change.
+type emptySource struct {
+	fakeSource
+	watches atomic.Int64
+}
+
+func (s *emptySource) Watch(context.Context, uint64) (*Config, uint64, error) {
+	s.watches.Add(1)
+	return nil, 0, nil
+}
+
+// TestWatchWithoutWait guards against a store that is asked without a delay because its
+// watches return at once.
+func TestWatchWithoutWait(t *testing.T) {
+	s := &emptySource{fakeSource: fakeSource{newest: newConfig(1, "/a/")}}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	NewController(s).Run(ctx)
+	if n := s.watches.Load(); n > 30 {
+		t.Errorf("%d watches within 300 ms, want at most 30", n)
+	}
+}
