queues: a queue with impossible values does not come into force

Operators would see all jobs of a queue refused, or none in time, after a document with a negative or far too large target_duration_ms, slack_factor, timeout_ms or max_attempts: the product of a factor of 1e308 and an estimate overflowed the time of the objective.

Only host, prefix and service were checked.

--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -60,6 +60,13 @@
 	byHost map[string][]*Queue // in lower case; the longest prefix first
 }
 
+// maxObjective and maxObjectiveFactor bound Objective and ObjectiveFactor, so that the
+// objective of the largest job fits into a duration.
+const (
+	maxObjective       = 365 * 24 * time.Hour
+	maxObjectiveFactor = 100
+)
+
 // NewTable builds the table of a configuration. Errors satisfy errors.IsNotValid.
 func NewTable(c *Config, since time.Time) (*Table, error) {
 	t := &Table{Config: c, Since: since, byHost: map[string][]*Queue{}}
@@ -68,6 +75,9 @@
 		if q.Host == "" || q.PathPrefix == "" || q.Service == "" {
 			return nil, errors.NotValidf("queue %q without host, prefix or service", q.Name)
 		}
+		if q.Rank < 0 || q.MaxFailedRuns < 0 || q.Objective < 0 || q.Objective > maxObjective || q.Timeout < 0 || !(q.ObjectiveFactor >= 0 && q.ObjectiveFactor <= maxObjectiveFactor) {
+			return nil, errors.NotValidf("queue %q with rank %d, %d failed runs, objective %v + %v times the estimate, timeout %v", q.Name, q.Rank, q.MaxFailedRuns, q.Objective, q.ObjectiveFactor, q.Timeout)
+		}
 		host := strings.ToLower(q.Host)
 		t.byHost[host] = append(t.byHost[host], q)
 	}
