settings: impossible times and ports of the platform's settings are reported

Operators would see a process start and misbehave in place of an error of check-config: with applyWithin of zero each watch of the store returned at once, with reportInterval of zero a worker got no runs, a metricsPort of 70000 failed only when the port was opened, and of a field given twice the first value was silently dropped.

applyWithin (100 ms to 1 h), maxLease (200 ms to 1 h), reportInterval (1 ms to 1 h), metricsPort, memoryMB and fields given twice are now checked, all problems together as before.

FuzzParsePlatform checks the same for any file.

--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -73,6 +74,11 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "settings file")
 	}
+	return parsePlatform(path, data)
+}
+
+// parsePlatform decodes and checks the content of the settings file at path.
+func parsePlatform(path string, data []byte) (*PlatformFile, error) {
 	var sections map[string]json.RawMessage
 	if err := json.Unmarshal(data, &sections); err != nil {
 		return nil, errors.NewNotValid(err, "settings file "+path)
@@ -88,6 +94,7 @@
 			p.addProblem(name, "unknown field", "one of broker, runner")
 		}
 	}
+	checkDuplicateFields("", json.NewDecoder(bytes.NewReader(data)), p)
 	f.check(p)
 	if len(p.Problems) > 0 {
 		return nil, p
@@ -103,15 +110,15 @@
 		f.Broker.PlatformProcess.check("broker", p)
 		checkAddress("broker.callerAddress", f.Broker.CallerAddress, p)
 		checkAddress("broker.readyAddress", f.Broker.ReadyAddress, p)
+		checkTime("broker.applyWithin", f.Broker.ApplyWithin, 100*time.Millisecond, time.Hour, p)
 	case f.Runner != nil:
 		f.Runner.PlatformProcess.check("runner", p)
 		checkAddress("runner.reportAddress", f.Runner.ReportAddress, p)
 		if f.Runner.WorkerAddress != "" {
 			checkAddress("runner.workerAddress", f.Runner.WorkerAddress, p)
 		}
-		if f.Runner.MaxLease < Duration(200*time.Millisecond) {
-			p.addProblem("runner.maxLease", f.Runner.MaxLease, "200ms or more")
-		}
+		checkTime("runner.maxLease", f.Runner.MaxLease, 200*time.Millisecond, time.Hour, p)
+		checkTime("runner.reportInterval", f.Runner.ReportInterval, time.Millisecond, time.Hour, p)
 	default:
 		p.addProblem("file", "no section", "one of broker, runner")
 	}
@@ -124,8 +131,13 @@
 	if _, err := netip.ParseAddr(s.Host); err != nil {
 		p.addProblem(section+".host", s.Host, "an IP address")
 	}
-	if s.InternalPort < 0 || s.InternalPort > 65535 {
-		p.addProblem(section+".internalPort", s.InternalPort, "a port")
+	for name, port := range map[string]int{".internalPort": s.InternalPort, ".metricsPort": s.MetricsPort} {
+		if port < 0 || port > 65535 {
+			p.addProblem(section+name, port, "a port")
+		}
+	}
+	if s.MemoryMB < 0 {
+		p.addProblem(section+".memoryMB", s.MemoryMB, "zero or more")
 	}
 	if s.Advertise != "" {
 		checkAddress(section+".advertise", s.Advertise, p)
@@ -139,6 +151,12 @@
 	}
 }
 
+func checkTime(field string, value Duration, least, most time.Duration, p *ValidationError) {
+	if value.Std() < least || value.Std() > most {
+		p.addProblem(field, value, "%v to %v", least, most)
+	}
+}
+
 func checkAddress(field, value string, p *ValidationError) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		p.addProblem(field, value, `an "ip:port"`)
--- /dev/null
+++ b/internal/settings/platform_test.go
@@ -0,0 +1,68 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	validBroker = `{"broker":{"instance":"e1","zone":"z","host":"10.0.0.1","internalPort":7,"seeds":["10.0.0.2:7"],"store":"10.0.0.9:80",
+"grace":"5s","callerAddress":"10.0.0.1:80","readyAddress":"10.0.0.1:81"}}`
+	validRunner = `{"runner":{"instance":"s1","zone":"z","host":"10.0.0.1","internalPort":7,"store":"10.0.0.9:80","grace":"5s","reportAddress":"10.0.0.1:80"}}`
+)
+
+// Guards against settings with which a process starts but asks the store without a pause,
+// or gives its worker no runs.
+func TestPlatformTimes(t *testing.T) {
+	for _, text := range []string{validBroker, validRunner} {
+		if _, err := parsePlatform("test", []byte(text)); err != nil {
+			t.Error(err)
+		}
+	}
+	for field, text := range map[string]string{
+		`"applyWithin":"0s"`:        validBroker,
+		`"applyWithin":"-1s"`:       validBroker,
+		`"metricsPort":70000`:       validBroker,
+		`"memoryMB":-1`:             validBroker,
+		`"grace":"1s"`:              validBroker, // a second time
+		`"reportInterval":"0s"`:     validRunner,
+		`"reportInterval":"-1s"`:    validRunner,
+		`"maxLease":"2562047h"`:     validRunner,
+		`"internalPort":7,"zone":3`: validRunner,
+	} {
+		if _, err := parsePlatform("test", []byte(strings.Replace(text, `"instance"`, field+`,"instance"`, 1))); err == nil {
+			t.Errorf("%s accepted", field)
+		}
+	}
+}
+
+// FuzzParsePlatform guards against a settings file that ends a process, or passes with
+// values with which it does not work.
+func FuzzParsePlatform(f *testing.F) {
+	f.Add([]byte(validBroker))
+	f.Add([]byte(validRunner))
+	f.Add([]byte(`{"broker":{"applyWithin":"-1s","seeds":null},"runner":3}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, err := parsePlatform("fuzz", data)
+		if err != nil {
+			return
+		}
+		if (file.Broker == nil) == (file.Runner == nil) {
+			t.Fatalf("%+v", file)
+		}
+		p := &PlatformProcess{}
+		if b := file.Broker; b != nil {
+			if p = &b.PlatformProcess; b.ApplyWithin.Std() < time.Millisecond {
+				t.Fatalf("%+v", b)
+			}
+		} else if r := file.Runner; r.ReportInterval <= 0 || r.MaxLease.Std() < 200*time.Millisecond || r.MaxLease.Std() > time.Hour {
+			t.Fatalf("%+v", r)
+		} else {
+			p = &r.PlatformProcess
+		}
+		if p.Instance == "" || p.Grace <= 0 || p.MemoryMB < 0 || min(p.InternalPort, p.MetricsPort) < 0 || max(p.InternalPort, p.MetricsPort) > 65535 {
+			t.Fatalf("%+v", p)
+		}
+	})
+}
