broker: a panic during the drain ends the process

Operators would see an entry instance that neither answers nor ends after SIGTERM, without a stack in its log, until the platform kills it: a panic in Drain left the mutex locked, and the deferred Close of the role's main function waited for it before the panic could end the process. Callers of the remaining jobs got no answer.

Drain now unlocks the mutex by a defer. The other places, calls of sidecars, timer, submissions, batches and malformed frames, already ended the process: net/rpc and fasthttp recover no panics.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -153,19 +153,10 @@
 // Drain refuses new jobs and waits until all admitted jobs are answered. When ctx
 // ends, Drain abandons the unanswered jobs, which answers them at once.
 func (b *Broker) Drain(ctx context.Context) {
-	b.mu.Lock()
-	b.machine.Drain()
-	b.mu.Unlock()
+	b.withLock(func() { b.machine.Drain() })
 	for {
-		b.mu.Lock()
-		jobs := b.machine.UnansweredJobs()
-		if ctx.Err() != nil && jobs > 0 {
-			now := clock.SinceBoot()
-			b.machine.AbandonJobs(now)
-			b.runMachine(now)
-			jobs = 0
-		}
-		b.mu.Unlock()
+		jobs := 0
+		b.withLock(func() { jobs = b.unansweredJobs(ctx.Err() != nil) })
 		if jobs == 0 {
 			return
 		}
@@ -173,6 +164,27 @@
 	}
 }
 
+// withLock calls f with mu held. It unlocks mu also if f panics, because the caller's
+// deferred Close needs it while the process ends.
+func (b *Broker) withLock(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+}
+
+// unansweredJobs returns the number of unanswered jobs, after it has abandoned them if
+// abandon is set; mu is held.
+func (b *Broker) unansweredJobs(abandon bool) int {
+	jobs := b.machine.UnansweredJobs()
+	if !abandon || jobs == 0 {
+		return jobs
+	}
+	now := clock.SinceBoot()
+	b.machine.AbandonJobs(now)
+	b.runMachine(now)
+	return 0
+}
+
 // Close closes all connections and waits until the goroutines that exchange
 // configurations with peers have ended.
 func (b *Broker) Close() {
