runner: nothing acts on a half-changed state after a panic

Operators would see, just before the stack of a sidecar that ends with a panic, a run reported as ended or a worker called for a state that the panic had left half changed: the deferred runMachineAndUnlock carried out the machine's actions and unlocked the mutex while the panic passed through it, and printing the stack leaves other goroutines time to send them.

A deferred runMachineAndUnlock now only continues the panic and keeps the mutex locked, so that the process ends without any further action.

--- a/internal/crashtest/crashtest.go
+++ b/internal/crashtest/crashtest.go
@@ -20,15 +20,15 @@
 )
 
 // Run calls crash for the case in a copy of the test process. It fails the test unless the
-// process ends, with a stack of a panic with the message.
-func Run(t *testing.T, name, message string, crash func()) {
+// process ends, with a stack of a panic with the message. It returns the output.
+func Run(t *testing.T, name, message string, crash func()) string {
 	t.Helper()
 	if os.Getenv(caseVariable) == name {
 		crash()
 		select {} // other goroutines go on, as in a daemon
 	}
 	if os.Getenv(caseVariable) != "" {
-		return
+		return ""
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -37,10 +37,11 @@
 	output, _ := cmd.CombinedOutput() // the exit code is checked below
 	if ctx.Err() != nil {
 		t.Errorf("%s: the process lives on:\n%s", name, output)
-		return
+		return ""
 	}
 	text := string(output)
 	if cmd.ProcessState.ExitCode() != exitCode || !strings.Contains(text, message) || !strings.Contains(text, "goroutine ") {
 		t.Errorf("%s: exit code %d:\n%s", name, cmd.ProcessState.ExitCode(), text)
 	}
+	return text
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -201,8 +201,13 @@
 	return now
 }
 
-// runMachineAndUnlock calls runMachine and unlocks mu.
+// runMachineAndUnlock calls runMachine and unlocks mu. If it is deferred and the caller
+// panics, it only continues the panic: the state may be half changed, so nothing may act on
+// it until the process has ended.
 func (r *Runner) runMachineAndUnlock(now time.Duration) {
+	if cause := recover(); cause != nil {
+		panic(cause)
+	}
 	r.runMachine(now)
 	r.mu.Unlock()
 }
