--- a/internal/broker/crash_test.go
+++ b/internal/broker/crash_test.go
@@ -42,6 +42,18 @@
 		client := &sidecarClient{broker: b, sidecar: replyPeer.Process, queue: []queuedBatch{{}}}
 		go client.sendBatches()
 	})
+	crashtest.Run(t, "call of a batch", message, func() {
+		b := newReplyBroker(t)
+		b.mu.Lock()
+		b.reset(t)
+		b.client.rpcClient = nil
+		b.mu.Unlock()
+		go b.client.sendBatches()
+	})
+	crashtest.Run(t, "exchange", message, func() {
+		b := newCrashingBroker()
+		go b.exchange(&peer{})
+	})
 	crashtest.Run(t, "drain", message, func() {
 		b := newCrashingBroker()
 		defer b.Close() // as in the role's main function
