--- a/internal/decision/placement/incarnation.go
+++ b/internal/decision/placement/incarnation.go
@@ -15,7 +15,8 @@
 // been removed.
 type incarnation struct {
 	// order is the number of the incarnation in the order of the first heartbeats.
-	order    uint64
+	order uint64
+	// lastSeen is the time of its last heartbeat.
 	lastSeen time.Duration
 }
 
