ownership: sessions of the model begin at 1, as those of the program are never 0

A report of session 0 comes from a sidecar of an earlier release and is believed. The program's first session is a time in milliseconds.

--- a/internal/decision/ownership/model_sidecar_test.go
+++ b/internal/decision/ownership/model_sidecar_test.go
@@ -24,6 +24,10 @@
 	started map[work.RunID]ident.Process
 }
 
+// firstSession is the session of the first heartbeats. The program begins with a time, which
+// is not zero either.
+const firstSession = uint64(1)
+
 type modelOwner struct {
 	ownership.Owner
 	entry       *entryProcess
@@ -100,7 +104,7 @@
 		s.after(250*ms, func() { s.heartbeat(entry) })
 		return
 	}
-	session := uint64(0)
+	session := firstSession
 	if o != nil {
 		session = o.Session()
 	}
@@ -113,7 +117,7 @@
 		case r == refused && o != nil:
 			s.drop(o)
 		case r == answered && o == nil:
-			o = &modelOwner{Owner: ownership.New(0), entry: e}
+			o = &modelOwner{Owner: ownership.New(firstSession), entry: e}
 			s.owners = append(s.owners, o)
 			o.HeartbeatAnswered(s.clock(), sentAt, session)
 		case r == answered:
