broker, runner: log each report that is ignored as one of an earlier state

A report of an earlier session, and a report or deregistration of an earlier worker process, were ignored without a line, so that a run that goes on after one could not be told from a lost message. E8018 has the sender and the two sessions or start times. The bounds of the platform's times have names.

--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -67,12 +67,13 @@
 
 // RunsEnded records the ends of runs that a sidecar has reported. It ignores a report of an
 // earlier session: its runs are known to have ended, and a job that has been submitted again
-// uses their numbers again. Sidecars of earlier releases report the session 0.
-func (m *Machine) RunsEnded(now time.Duration, sidecar ident.Process, session uint64, ends []wire.RunEnd) {
+// uses their numbers again. Sidecars of earlier releases report the session 0. RunsEnded
+// returns false if it ignored the report.
+func (m *Machine) RunsEnded(now time.Duration, sidecar ident.Process, session uint64, ends []wire.RunEnd) bool {
 	m.checkContacts(now)
 	w := m.workers[sidecar]
 	if w == nil || session != 0 && session != w.session {
-		return
+		return false
 	}
 	for _, e := range ends {
 		if t := w.tasks[e.Run]; t != nil {
@@ -80,6 +81,7 @@
 		}
 	}
 	m.retryWaiting(now)
+	return true
 }
 
 // endRun records the end of a task's newest run. It answers the job, places the
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -88,10 +88,15 @@
 		Meaning: "An entry instance ignored a heartbeat because a later process or session of the sidecar is known.",
 		Action:  "None after a pause or a network interruption; otherwise check that no two sidecars have one instance name.",
 	}
+	ReportIgnored = &Event{
+		Number: 8018, Severity: Info, Name: "report ignored",
+		Meaning: "A message about runs or a worker was ignored because it is of an earlier state: an entry instance got a report of an earlier session of a sidecar, or a sidecar a report or deregistration of an earlier process of its worker.",
+		Action:  "None after a restart, a pause or a network interruption; otherwise check the clocks of the worker's machine.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
 	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
-	RunStopped, PauseNoticed, HeartbeatIgnored,
+	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored,
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -31,8 +31,10 @@
 	old := r.report
 	switch {
 	case report.Incarnation == r.exitedIncarnation && report.Incarnation != 0:
+		event.LogRateLimited(event.ReportIgnored, "worker", report.ID, "born", report.Incarnation, "bornNewest", old.Incarnation)
 		return
 	case report.Incarnation < old.Incarnation && !r.isRunning(report.Incarnation):
+		event.LogRateLimited(event.ReportIgnored, "worker", report.ID, "born", report.Incarnation, "bornNewest", old.Incarnation)
 		if r.supervisor != nil {
 			r.supervisor.wake() // without active runs, it sends no status requests
 		}
@@ -80,6 +82,7 @@
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
 	if id != r.report.ID || incarnation != 0 && incarnation != r.report.Incarnation {
+		event.LogRateLimited(event.ReportIgnored, "worker", id, "born", incarnation, "bornNewest", r.report.Incarnation, "left", true)
 		return
 	}
 	r.workerLeft = true
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -110,15 +110,15 @@
 		f.Broker.PlatformProcess.check("broker", p)
 		checkAddress("broker.callerAddress", f.Broker.CallerAddress, p)
 		checkAddress("broker.readyAddress", f.Broker.ReadyAddress, p)
-		checkTime("broker.applyWithin", f.Broker.ApplyWithin, 100*time.Millisecond, time.Hour, p)
+		checkTime("broker.applyWithin", f.Broker.ApplyWithin, minApplyWithin, maxPlatformTime, p)
 	case f.Runner != nil:
 		f.Runner.PlatformProcess.check("runner", p)
 		checkAddress("runner.reportAddress", f.Runner.ReportAddress, p)
 		if f.Runner.WorkerAddress != "" {
 			checkAddress("runner.workerAddress", f.Runner.WorkerAddress, p)
 		}
-		checkTime("runner.maxLease", f.Runner.MaxLease, 200*time.Millisecond, time.Hour, p)
-		checkTime("runner.reportInterval", f.Runner.ReportInterval, time.Millisecond, time.Hour, p)
+		checkTime("runner.maxLease", f.Runner.MaxLease, minMaxLease, maxPlatformTime, p)
+		checkTime("runner.reportInterval", f.Runner.ReportInterval, minReportInterval, maxPlatformTime, p)
 	default:
 		p.addProblem("file", "no section", "one of broker, runner")
 	}
@@ -151,6 +151,14 @@
 	}
 }
 
+// Bounds of the times in the platform's settings.
+const (
+	minApplyWithin    = 100 * time.Millisecond
+	minMaxLease       = 200 * time.Millisecond
+	minReportInterval = time.Millisecond
+	maxPlatformTime   = time.Hour
+)
+
 func checkTime(field string, value Duration, least, most time.Duration, p *ValidationError) {
 	if value.Std() < least || value.Std() > most {
 		p.addProblem(field, value, "%v to %v", least, most)
