controller: a panic while a configuration is decided leaves no mutex locked

Cause: the Job API's filter recovers a panic in a request handler and answers 500, but consider, adopt and the merge of a forked document unlocked the controller's mutex by hand. After such a panic each later reader of the revisions waited for good: the process answered its port and took no configuration any more.

Change: the parts that hold the mutex are functions of their own that release it in any case. The state is sound then: the tracker decodes and compares before it changes anything.

--- a/internal/controller/config_controller.go
+++ b/internal/controller/config_controller.go
@@ -194,16 +194,7 @@
 // adopts it. It logs why a document was rejected, unless the last logged
 // rejection was of the same document.
 func (c *ConfigController) consider(data []byte) (revision.Verdict, *resource.Document, error) {
-	c.mu.Lock()
-	verdict, doc, err := c.tracker.Consider(data)
-	if verdict == revision.Adopted {
-		c.publishLocked(doc)
-	}
-	shouldLog := verdict == revision.Rejected && err != c.lastLoggedRejection
-	if shouldLog {
-		c.lastLoggedRejection = err
-	}
-	c.mu.Unlock()
+	verdict, doc, shouldLog, err := c.decide(data)
 	if verdict == revision.Adopted {
 		c.notifySubscribers()
 	}
@@ -213,15 +204,25 @@
 	return verdict, doc, err
 }
 
-// adopt adopts a document that this process has written to the store.
-func (c *ConfigController) adopt(doc *resource.Document) {
+// decide is the part of consider that holds the mutex. It releases it also on a panic,
+// after which a request handler goes on: the tracker changes nothing before it has decided.
+func (c *ConfigController) decide(data []byte) (verdict revision.Verdict, doc *resource.Document, shouldLog bool, err error) {
 	c.mu.Lock()
-	verdict := c.tracker.Adopt(doc)
+	defer c.mu.Unlock()
+	verdict, doc, err = c.tracker.Consider(data)
 	if verdict == revision.Adopted {
 		c.publishLocked(doc)
 	}
-	c.mu.Unlock()
-	if verdict == revision.Adopted {
+	shouldLog = verdict == revision.Rejected && err != c.lastLoggedRejection
+	if shouldLog {
+		c.lastLoggedRejection = err
+	}
+	return verdict, doc, shouldLog, err
+}
+
+// adopt adopts a document that this process has written to the store.
+func (c *ConfigController) adopt(doc *resource.Document) {
+	if c.decideWritten(doc) == revision.Adopted {
 		c.notifySubscribers()
 	}
 	// The store may be restored to an older state before the watch returns this
@@ -229,6 +230,17 @@
 	c.requestReread()
 }
 
+// decideWritten is the part of adopt that holds the mutex.
+func (c *ConfigController) decideWritten(doc *resource.Document) revision.Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	verdict := c.tracker.Adopt(doc)
+	if verdict == revision.Adopted {
+		c.publishLocked(doc)
+	}
+	return verdict
+}
+
 // publishLocked makes doc the current document. The caller holds c.mu.
 func (c *ConfigController) publishLocked(doc *resource.Document) {
 	c.current.Store(&publishedDocument{
--- a/internal/controller/config_watch.go
+++ b/internal/controller/config_watch.go
@@ -133,12 +133,7 @@
 // fork if the entry instances and the store lost accepted edits that a sidecar
 // still has, and another edit was accepted before the sidecar offered its copy.
 func (c *ConfigController) mergeForkedDocument(ctx context.Context, version uint64) error {
-	c.mu.Lock()
-	forked := c.forkedDocument
-	if forked != nil && c.tracker.Compare(forked) != revision.Forked {
-		forked, c.forkedDocument = nil, nil
-	}
-	c.mu.Unlock()
+	forked := c.openFork()
 	if forked == nil {
 		return nil
 	}
@@ -150,6 +145,17 @@
 		forked.Revision, held.Revision, merged.Document.Revision, merged.Dropped)
 }
 
+// openFork returns the document that a peer has offered, or nil if there is none or if the
+// held document contains its changes by now.
+func (c *ConfigController) openFork() *resource.Document {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.forkedDocument != nil && c.tracker.Compare(c.forkedDocument) != revision.Forked {
+		c.forkedDocument = nil
+	}
+	return c.forkedDocument
+}
+
 // writeMissingDocument writes the held document, or the initial one if there is
 // none, to a store without a document.
 func (c *ConfigController) writeMissingDocument(ctx context.Context) error {
