wire: the clock of a batch is bounded as that of a load summary is

Cause: RunBatch.SidecarClockMs was not checked. As milliseconds near the limits of 64 bits it overflows a duration, so the age of the batch came out as anything, and a batch that says nothing about its age could start its runs.

Change: the bound of load summaries (100 years) holds for batches, too, by one function. TestBatchWithImpossibleClock failed before for all three values and passes now.

--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
@@ -55,6 +57,17 @@
 	}
 }
 
+// TestBatchWithImpossibleClock guards against a batch whose age is not known, since its clock
+// overflows a duration, and that starts its runs.
+func TestBatchWithImpossibleClock(t *testing.T) {
+	for _, ms := range []int64{1 << 62, -1 << 63, 1<<63 - 1} {
+		b := wire.RunBatch{SidecarClockMs: ms, Sequence: 1}
+		if err := b.Validate(); !errors.Is(err, errors.NotValid) {
+			t.Errorf("clock %d ms: error %v, want not valid", ms, err)
+		}
+	}
+}
+
 // freshWorker is a worker in the first millisecond of its incarnation: its clock is
 // zero.
 type freshWorker struct{ incarnation int64 }
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -22,8 +22,8 @@
 
 // Validate checks the values of a batch. Errors satisfy errors.IsNotValid.
 func (b *RunBatch) Validate() error {
-	if len(b.Runs) > maxCount || len(b.Stops) > maxCount || b.Sequence > maxCounter {
-		return errors.NotValidf("batch %d of %d runs and %d stops", b.Sequence, len(b.Runs), len(b.Stops))
+	if len(b.Runs) > maxCount || len(b.Stops) > maxCount || b.Sequence > maxCounter || !validClock(b.SidecarClockMs) {
+		return errors.NotValidf("batch %d of %d runs and %d stops, built at %d ms", b.Sequence, len(b.Runs), len(b.Stops), b.SidecarClockMs)
 	}
 	for i := range b.Runs {
 		r := &b.Runs[i]
@@ -83,7 +83,7 @@
 // Validate checks the values of a load summary. Errors satisfy errors.IsNotValid.
 func (l *Load) Validate() error {
 	valid := l.Version <= maxCounter && l.AppliedSequence <= maxCounter && l.Capacity.Valid() && l.Free.Valid() && l.Free.FitsIn(l.Capacity) && l.RemainingWork >= 0 &&
-		math.Abs(float64(l.ClockMs)) <= float64(100*maxMs) && l.Slowness >= 0 && l.Slowness <= math.MaxInt32
+		validClock(l.ClockMs) && l.Slowness >= 0 && l.Slowness <= math.MaxInt32
 	for rank := range NumRanks {
 		valid = valid && l.QueuedMilliCPU[rank] >= 0 && l.QueuedMilliCPU[rank] <= maxCount*work.MaxAmount && l.RankShare[rank] >= 0 && l.RankShare[rank] <= 1
 	}
@@ -95,6 +95,9 @@
 
 func validMs(ms int64) bool { return ms >= 0 && ms <= maxMs }
 
+// validClock reports whether a clock that starts with a machine can show a time.
+func validClock(ms int64) bool { return ms >= -100*maxMs && ms <= 100*maxMs }
+
 func validRun(r work.RunID) bool {
 	return r.Task.Job != "" && r.Task.Step >= 0 && r.Task.Index >= 0 && r.Attempt > 0
 }
