soak: up to 360 processes, with load and faults in proportion, and kills of many at once

Each host now has a number, and a run uses four blocks of loopback addresses. The callers, the number of faults at a time and of targets of a fault grow with the number of processes; runs of more than 60 also kill half of the processes at the same moment. Small runs draw the same faults for a seed as before.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -48,6 +48,16 @@
 	}}
 }
 
+// herdFault kills many processes at the same moment. Only large runs have it, so that the
+// seeds of small ones keep their meaning.
+var herdFault = fault{"kill of many", func(s *system, rnd *rand.Rand) (string, func()) {
+	killed := rnd.Perm(len(s.processes))[:len(s.processes)/2]
+	for _, i := range killed {
+		s.processes[i].signal(syscall.SIGKILL)
+	}
+	return fmt.Sprint(len(killed), " processes"), func() {}
+}}
+
 var faults = []fault{
 	signalFault("kill", syscall.SIGKILL, 0),
 	signalFault("terminate", syscall.SIGTERM, 0),
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -18,8 +18,8 @@
 	o := options{}
 	flag.Int64Var(&o.Seed, "seed", time.Now().UnixNano()%1e9, "seed of the faults and the load")
 	flag.DurationVar(&o.For, "for", 30*time.Second, "length of the run, without start and recovery")
-	flag.IntVar(&o.Workers, "workers", 4, "number of workers, 1 to 40")
-	flag.IntVar(&o.Entries, "entries", 3, "number of entry instances, 1 to 20")
+	flag.IntVar(&o.Workers, "workers", 4, fmt.Sprintf("number of workers, 1 to %d", maxWorkers))
+	flag.IntVar(&o.Entries, "entries", 3, fmt.Sprintf("number of entry instances, 1 to %d", maxEntries))
 	flag.StringVar(&o.Binary, "binary", "", "program to run; empty builds it")
 	flag.StringVar(&o.JSON, "json", "", "file for the report as JSON")
 	flag.StringVar(&o.Logs, "logs", "", "directory for the logs of the processes; empty keeps none")
@@ -55,3 +55,10 @@
 	Binary           string `json:"-"`
 	JSON, Logs       string `json:"-"`
 }
+
+// scale is the size of the run, at least 1, as a multiple of a small one. The load and the
+// number of faults at a time grow with it.
+func (o options) scale() int {
+	const smallRun = 60 // processes
+	return max(1, (o.Workers+o.Entries+smallRun-1)/smallRun)
+}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,7 +72,7 @@
 
 // run starts the processes, injects faults under load and returns the report.
 func run(ctx context.Context, o options) (*report, error) {
-	if o.Workers < 1 || o.Workers > 40 || o.Entries < 1 || o.Entries > 20 {
+	if o.Workers < 1 || o.Workers > maxWorkers || o.Entries < 1 || o.Entries > maxEntries {
 		return nil, errors.NotValidf("%d workers, %d entry instances", o.Workers, o.Entries)
 	}
 	s, err := newSystem(ctx, o)
@@ -87,7 +88,7 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	outcomes := make(chan outcome, 1<<16)
 	var load sync.WaitGroup
-	for i := range callerCount {
+	for i := range callerCount * o.scale() {
 		load.Go(func() { s.runCaller(loadCtx, r, rand.New(rand.NewSource(o.Seed+int64(i)+1)), i, outcomes) })
 	}
 	s.injectFaults(ctx, r, rand.New(rand.NewSource(o.Seed)))
@@ -114,6 +115,10 @@
 // overlap, and the same kind of fault can occur twice in succession.
 func (s *system) injectFaults(ctx context.Context, r *report, rnd *rand.Rand) {
 	end := time.Now().Add(s.options.For)
+	kinds := faults
+	if s.options.scale() > 1 {
+		kinds = append(slices.Clone(faults), herdFault)
+	}
 	var endFuncs []func()
 	var endTimes []time.Time
 	endFaults := func(all bool) {
@@ -129,9 +134,9 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(50+rnd.Intn(700)) * time.Millisecond)
 		endFaults(false)
-		f := faults[rnd.Intn(len(faults))]
-		for range 1 + rnd.Intn(2) {
-			if len(endFuncs) >= maxActiveFaults {
+		f := kinds[rnd.Intn(len(kinds))]
+		for range 1 + rnd.Intn(1+s.options.scale()) {
+			if len(endFuncs) >= maxActiveFaults*s.options.scale() {
 				break
 			}
 			target, stop := f.inject(s, rnd)
--- a/test/soak/system.go
+++ b/test/soak/system.go
@@ -26,12 +26,18 @@
 	storePort    = 7406
 )
 
-// Last bytes of the loopback addresses.
+// Numbers of the hosts, each of which has a loopback address.
 const (
-	storeHost   = 1
+	storeHost   = 0
 	entryHost   = 10
-	sidecarHost = 40
-	proxyOffset = 100 // added for the address of the proxy in front of a port
+	sidecarHost = entryHost + maxEntries
+	proxyOffset = sidecarHost + maxWorkers // added for the address of the proxy in front of a port
+
+	maxEntries, maxWorkers = 60, 300
+	// hostsPerBlock is the number of hosts whose addresses share the first three bytes,
+	// and blocks the number of such groups that a run uses.
+	hostsPerBlock = 200
+	blocks        = 4
 )
 
 const (
@@ -46,7 +52,7 @@
 type system struct {
 	options    options
 	dir        string
-	network    string
+	pid        int // selects the addresses, so that several runs don't share any
 	store      *standin.Store
 	storeProxy *proxy
 	workers    []*standin.Worker
@@ -61,12 +67,17 @@
 }
 
 func (s *system) address(host, port int) string {
-	return fmt.Sprintf("%s.%d:%d", s.network, host, port)
+	return fmt.Sprintf("%s:%d", s.host(host), port)
+}
+
+func (s *system) host(number int) string {
+	const networks = 256 / blocks
+	return fmt.Sprintf("127.%d.%d.%d", 20+s.pid/networks%200, s.pid%networks*blocks+number/hostsPerBlock, 1+number%hostsPerBlock)
 }
 
 func newSystem(ctx context.Context, o options) (s *system, err error) {
 	ctx, stop := context.WithCancel(ctx)
-	s = &system{options: o, stop: stop, network: fmt.Sprintf("127.%d.%d", 20+os.Getpid()>>7%200, os.Getpid()%128)}
+	s = &system{options: o, stop: stop, pid: os.Getpid()}
 	defer func() {
 		if err != nil {
 			s.close()
@@ -115,7 +126,7 @@
 	for i := range min(s.options.Entries, 3) {
 		seeds = append(seeds, s.address(entryHost+i+proxyOffset, internalPort))
 	}
-	return settings.PlatformProcess{Instance: name, Zone: "z", Host: fmt.Sprintf("%s.%d", s.network, host), InternalPort: internalPort,
+	return settings.PlatformProcess{Instance: name, Zone: "z", Host: s.host(host), InternalPort: internalPort,
 		Advertise: s.address(host+proxyOffset, internalPort), Seeds: seeds, Store: s.address(storeHost+proxyOffset, storePort),
 		Grace: settings.Duration(shutdownGrace)}
 }
