ctl: the exit code of a test no longer depends on processor time

TestExitCodes, case "store down", got exit code 5 in place of 7 on a busy machine: the command repeats a change until its timeout, 200 ms in the test, and an attempt shortly before the timeout got no response in time. The command must call that outcome unknown, so the fault is in the test, whose verdict depends on how fast the server in the same process responds.

The client of a command now takes its clock and its HTTP client from outside. The tests whose command ends by its own short timeout (TestExitCodes, TestChangeWithLostResponse, TestSubmitRefusedAfterServerError) use a clock that only the delays between attempts advance, and an HTTP client without a deadline. They expect the same exit codes as before. TestChangeWithoutResponse is new and keeps the deadline of a request under test: a server that never responds, and exit code 5.

Nothing changes for a command outside tests.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -114,10 +114,10 @@
 			if err == nil && o.Metadata.Generation >= e.Metadata.Generation && inForceEverywhere(o) {
 				break
 			}
-			if time.Until(c.deadline) < pollInterval {
+			if c.remaining() < pollInterval {
 				return exitErrorf(ExitUnavailable, "%s/%s was accepted, but was not in force on all processes within the timeout", e.Type, e.Metadata.Name)
 			}
-			time.Sleep(pollInterval)
+			c.sleep(pollInterval)
 		}
 	}
 	return nil
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 )
 
@@ -18,13 +19,20 @@
 // Client calls the caller API and the operator API. All its calls share one
 // deadline. It is not safe for concurrent use.
 type Client struct {
-	http        *fasthttp.Client
+	http        requester
+	clock       clock.Clock
 	callerURL   string
 	operatorURL string
 	deadline    time.Time
 }
 
-func (p *program) newClient() *Client { return NewClient(p.server, p.operator, p.timeout) }
+// requester sends HTTP requests.
+type requester interface {
+	// DoDeadline sends a request and waits for the response until the deadline.
+	DoDeadline(req *fasthttp.Request, res *fasthttp.Response, deadline time.Time) error
+}
+
+func (p *program) newClient() *Client { return p.connect(p.server, p.operator, p.timeout) }
 
 // NewClient returns a client of the caller API at server and the operator API at
 // operator, which are "ip:port" or URLs. The deadline of all calls is timeout from
@@ -38,12 +46,19 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		},
+		clock:       clock.Real{},
 		callerURL:   baseURL(server),
 		operatorURL: baseURL(operator),
 		deadline:    time.Now().Add(timeout),
 	}
 }
 
+// remaining returns the time until the deadline.
+func (c *Client) remaining() time.Duration { return c.deadline.Sub(c.clock.Now()) }
+
+// sleep waits until d has passed.
+func (c *Client) sleep(d time.Duration) { <-c.clock.After(d) }
+
 func baseURL(address string) string {
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -37,14 +37,18 @@
 // Main runs the program and returns its exit code. args includes the program's
 // name.
 func Main(args []string, s Streams) int {
-	err := newApp(s).Run(args)
+	return run(args, &program{Streams: s, connect: NewClient})
+}
+
+func run(args []string, p *program) int {
+	err := newApp(p).Run(args)
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintf(s.Err, "cardamomctl: %v\n", err)
+	fmt.Fprintf(p.Err, "cardamomctl: %v\n", err)
 	code := exitCode(err)
 	if code == ExitUsage {
-		fmt.Fprintln(s.Err, "Run 'cardamomctl help' for the usage.")
+		fmt.Fprintln(p.Err, "Run 'cardamomctl help' for the usage.")
 	}
 	return code
 }
@@ -84,18 +88,19 @@
 	Streams
 	server, operator, output string
 	timeout                  time.Duration
+	// connect returns the client of a command.
+	connect func(server, operator string, timeout time.Duration) *Client
 }
 
-func newApp(s Streams) *cli.App {
-	p := &program{Streams: s}
+func newApp(p *program) *cli.App {
 	a := &cli.App{
 		Name:           "cardamomctl",
 		Usage:          "submit jobs to cardamomturn and administer it",
 		Description:    exitCodesHelp + "\nFlags come before arguments: cardamomctl get -o json kinds",
 		Flags:          p.globalFlags(),
-		Reader:         s.In,
-		Writer:         s.Out,
-		ErrWriter:      s.Err,
+		Reader:         p.In,
+		Writer:         p.Out,
+		ErrWriter:      p.Err,
 		ExitErrHandler: func(*cli.Context, error) {},
 		OnUsageError:   onUsageError,
 		Commands: []*cli.Command{
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -9,9 +9,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/jobapi"
 	"github.com/cardamomturn/cardamomturn/internal/resourceapi"
 )
@@ -41,9 +43,43 @@
 }
 
 func runCtl(address, in string, args ...string) (code int, out, errOut string) {
+	return runConnected(NewClient, address, in, args...)
+}
+
+// runCtlOnManualClock runs the program with a clock that only its delays advance. Its
+// timeout ends the retries, but no request, so that the processor time that the server
+// gets does not decide the exit code.
+func runCtlOnManualClock(address string, args ...string) (code int, errOut string) {
+	code, _, errOut = runConnected(func(server, operator string, timeout time.Duration) *Client {
+		c := NewClient(server, operator, timeout)
+		manual := clock.NewManual(time.Now())
+		c.clock, c.deadline = delayClock{manual}, manual.Now().Add(timeout)
+		c.http = endlessRequester{c.http.(*fasthttp.Client)}
+		return c
+	}, address, "", args...)
+	return code, errOut
+}
+
+// delayClock is a manual clock that advances by each delay at once.
+type delayClock struct{ *clock.Manual }
+
+func (c delayClock) After(d time.Duration) <-chan time.Time {
+	ch := c.Manual.After(d)
+	c.Advance(d)
+	return ch
+}
+
+// endlessRequester waits for a response without a deadline.
+type endlessRequester struct{ client *fasthttp.Client }
+
+func (r endlessRequester) DoDeadline(req *fasthttp.Request, res *fasthttp.Response, _ time.Time) error {
+	return r.client.Do(req, res)
+}
+
+func runConnected(connect func(server, operator string, timeout time.Duration) *Client, address, in string, args ...string) (code int, out, errOut string) {
 	var o, e bytes.Buffer
 	all := append([]string{"cardamomctl", "--server", address, "--operator", address, "--timeout", "5s"}, args...)
-	code = Main(all, Streams{In: strings.NewReader(in), Out: &o, Err: &e})
+	code = run(all, &program{Streams: Streams{In: strings.NewReader(in), Out: &o, Err: &e}, connect: connect})
 	handlerMu.Lock()
 	defer handlerMu.Unlock()
 	return code, o.String(), e.String()
@@ -128,7 +164,7 @@
 		if args == nil {
 			args = []string{"submit", "--team", "a", "--kind", "b"}
 		}
-		if code, _, errOut := runCtl(address, "", args...); code != c.want {
+		if code, errOut := runCtlOnManualClock(address, args...); code != c.want {
 			t.Errorf("%s: exit code %d, want %d; %s", name, code, c.want, errOut)
 		}
 	}
@@ -158,13 +194,26 @@
 				ctx.SetStatusCode(503)
 			}
 		})
-		code, _, errOut := runCtl(address, "", "delete", "--timeout", "600ms", "--version", "4", "kinds", "x")
+		code, errOut := runCtlOnManualClock(address, "delete", "--timeout", "600ms", "--version", "4", "kinds", "x")
 		if code != c.want || calls < 2 || len(ids) != 1 || ids[""] {
 			t.Errorf("%s: exit code %d after %d calls with change IDs %v: %s", name, code, calls, ids, errOut)
 		}
 	}
 }
 
+// Guards against a change that gets no response before the timeout being reported as not
+// made, and against a command that waits beyond its timeout.
+func TestChangeWithoutResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts no connection, so the kernel answers nothing but the handshake
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if code, _, errOut := runCtl(l.Addr().String(), "", "delete", "--timeout", "50ms", "kinds", "x"); code != ExitUnknown {
+		t.Errorf("exit code %d, want %d: %s", code, ExitUnknown, errOut)
+	}
+}
+
 // Guards against details of an error response that are not printed, and against a
 // deletion that is sent without its version condition.
 func TestErrorDetails(t *testing.T) {
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v2"
@@ -88,10 +87,10 @@
 		case err != nil && exitCode(err) != ExitUnavailable:
 			return false, err
 		}
-		if time.Until(c.deadline) < pollInterval {
+		if c.remaining() < pollInterval {
 			return false, exitErrorf(ExitUnavailable, "%d tasks or undelivered results remain at the timeout", remaining)
 		}
-		time.Sleep(pollInterval)
+		c.sleep(pollInterval)
 	}
 }
 
--- a/internal/ctl/edit.go
+++ b/internal/ctl/edit.go
@@ -34,7 +34,7 @@
 	}
 	maybeAccepted := false // whether an earlier attempt may have been accepted
 	for attempt := 0; ; attempt++ {
-		attemptDeadline := time.Now().Add(editAttemptTimeout)
+		attemptDeadline := c.clock.Now().Add(editAttemptTimeout)
 		if c.deadline.Before(attemptDeadline) {
 			attemptDeadline = c.deadline
 		}
--- a/internal/ctl/submission.go
+++ b/internal/ctl/submission.go
@@ -46,10 +46,10 @@
 func (c *Client) backoff(attempt int) bool {
 	maxDelay := min(retryMaxDelay, retryInitialDelay<<min(attempt, 10))
 	delay := time.Duration(rand.Int64N(int64(maxDelay))) + time.Millisecond
-	if time.Until(c.deadline) <= delay {
+	if c.remaining() <= delay {
 		return false
 	}
-	time.Sleep(delay)
+	c.sleep(delay)
 	return true
 }
 
@@ -154,7 +154,7 @@
 		return c.call(fasthttp.MethodPost, c.callerURL, "/v1/jobs"+wait, s.req)
 	}
 	if s.progress != nil {
-		time.Sleep(progressInterval)
+		c.sleep(progressInterval)
 	}
 	return c.call(fasthttp.MethodGet, c.callerURL, "/v1/jobs/"+url.PathEscape(s.req.SubmissionID)+wait, nil)
 }
--- a/internal/ctl/submission_test.go
+++ b/internal/ctl/submission_test.go
@@ -131,7 +131,7 @@
 			ctx.SetStatusCode(c.statuses[min(calls, len(c.statuses)-1)])
 			calls++
 		})
-		code, _, errOut := runCtl(address, "", "submit", "--timeout", "500ms", "--team", "a", "--kind", "b", "--id", submissionPrefix+"x")
+		code, errOut := runCtlOnManualClock(address, "submit", "--timeout", "500ms", "--team", "a", "--kind", "b", "--id", submissionPrefix+"x")
 		if code != c.want {
 			t.Errorf("%s: exit code %d, want %d: %s", name, code, c.want, errOut)
 		}
