occupancy, placement: the later submission of a job wins, the earlier one is given up

What callers would see: a task with two runs at a time after the caller's connection to an entry instance broke without that one noticing, and a job that makes no progress before that, because the runs of its two submissions stop each other.

Cause: a sidecar that stopped a run for a second owner reported it to the first owner as lost, which started the task elsewhere, beside the second owner. Besides, whichever run arrived second stopped the other one, so that a run of the earlier submission also stopped that of the later one.

Change: runs carry the age of their job. The sidecar orders the submissions by it and ends the runs of the earlier one with the new outcome "superseded", whatever their result; a run of the earlier submission that arrives at one of the later does not begin. The entry instance answers such a job with 504, stops its other runs and starts none. Of several rejected runs only that of the latest submission may be started elsewhere. Senders of earlier releases send no age and get the outcomes that they know.

Two submissions that never meet at a sidecar remain (docs/incidents/two-runs-of-one-task.md).

Cost: 2 to 4 bytes a run, one comparison a run of a task with two owners.

--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -71,6 +71,11 @@
 	// ownerDropped is true if DropOwner has dropped the owner. The end is not
 	// reported then, but the run occupies capacity until it has ended.
 	ownerDropped bool
+	// superseded is true if another owner has the run of a later submission of the job. The
+	// owner is told so whatever the result, because it does nothing more for the job.
+	superseded bool
+	// jobSubmittedAt is the time at which the job was submitted to the owner.
+	jobSubmittedAt time.Duration
 	// stopOutcome and stopReason are reported when a stopped run has ended, unless
 	// the worker reports that the run succeeded or failed.
 	stopOutcome work.Outcome
@@ -109,15 +114,6 @@
 	rejections []rejection
 }
 
-// rejection is a rejected run of a second owner of a task, which is reported when the runs
-// of the first owner have ended.
-type rejection struct {
-	ReportEnd
-	// ownerDropped is true if DropOwner has dropped the owner, to which the rejection is
-	// not reported then.
-	ownerDropped bool
-}
-
 // Machine is the state machine of one sidecar. Its caller is the runtime, which
 // passes in the events and carries out the actions.
 type Machine struct {
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -1,7 +1,6 @@
 package occupancy
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
@@ -17,14 +16,11 @@
 		if known := m.runs[q.Run]; known != nil && known.owner == owner {
 			continue
 		}
-		if m.stopOtherOwners(now, owner, q.Run.Task) {
-			m.runsOfOwner[owner]++
-			m.rejectSecondOwner(rejection{ReportEnd: ReportEnd{Owner: owner, End: wire.RunEnd{
-				Run: q.Run, Outcome: work.NotRun, Reason: "another owner's run of the task is being stopped"}}})
+		if m.resolveOwners(now, owner, &q) {
 			continue
 		}
 		m.lastSequence++
-		r := &run{RunRequest: q, owner: owner, sequence: m.lastSequence,
+		r := &run{RunRequest: q, owner: owner, sequence: m.lastSequence, jobSubmittedAt: jobSubmittedAt(now, &q),
 			latestStart: now + time.Duration(q.MaxWaitMs)*time.Millisecond}
 		m.runs[q.Run] = r
 		m.runsOfOwner[owner]++
@@ -44,35 +40,6 @@
 
 const reasonNoCapacityNow = "no room at once"
 
-// stopOtherOwners stops the runs of a task that belong to other owners, and reports
-// whether there were any. Two owners submit the same task if the caller has
-// submitted the job again, so nobody waits for the answer of the earlier owner.
-func (m *Machine) stopOtherOwners(now time.Duration, owner ident.Process, task work.TaskID) bool {
-	found := false
-	// stop shortens the list.
-	for _, r := range slices.Clone(m.byTask[task]) {
-		if r.owner != owner {
-			found = true
-			m.stop(now, r, "another owner submitted the task")
-		}
-	}
-	return found
-}
-
-// rejectSecondOwner reports the rejection of a run when the last active run of its task has
-// ended, because the owner starts the task elsewhere then.
-func (m *Machine) rejectSecondOwner(rejected rejection) {
-	if active := m.byTask[rejected.End.Run.Task]; len(active) > 0 {
-		last := active[len(active)-1]
-		last.rejections = append(last.rejections, rejected)
-		return
-	}
-	m.removeFromOwner(rejected.Owner)
-	if !rejected.ownerDropped {
-		m.actions = append(m.actions, rejected.ReportEnd)
-	}
-}
-
 // startQueued starts queued runs in order while the worker has enough free
 // capacity. A run that does not fit blocks the runs behind it, so that small runs
 // don't starve large ones; if it has NoWait, it is returned to its owner instead.
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -107,6 +107,9 @@
 		m.actions = append(m.actions, StopSettled{Run: r.Run, Owner: r.owner, Reason: r.stopReason, Outcome: outcome,
 			Ran: r.stopOrderedAt - r.startedAt, Settling: now - r.stopOrderedAt, Confirmed: r.stopConfirmed})
 	}
+	if r.superseded {
+		outcome, reason = supersededOutcome(r.JobAgeMs, outcome), reasonSuperseded
+	}
 	if !r.ownerDropped {
 		e := wire.RunEnd{Run: r.Run, Outcome: outcome, Reason: reason}
 		if r.startedAt > 0 {
--- a/internal/decision/ownership/model_caller_test.go
+++ b/internal/decision/ownership/model_caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
@@ -94,6 +95,19 @@
 	}
 }
 
+// breakConnection lets the connection of the newest submission break unnoticed by its entry
+// instance, so that the caller submits the job again while that one goes on with it.
+func (j *callerJob) breakConnection() {
+	w, submission := j.world, j.submission
+	other := w.entries[slices.IndexFunc(w.entries, func(e *entryProcess) bool { return e.id.Instance != j.entry.id.Instance })]
+	w.note("%s loses its connection to %v", j.id, j.entry.id)
+	w.after(resubmitDelay, func() {
+		if !j.final && j.submission == submission {
+			j.submit(other)
+		}
+	})
+}
+
 // leave tells an entry instance that the connection of a submission is closed.
 func (j *callerJob) leave(e *entryProcess, submission int) {
 	if j.accepted[e.id] != submission {
@@ -139,8 +153,9 @@
 }
 
 // submitJob lets a caller submit a job with tasks of a run time.
-func (w *world) submitJob(e *entryProcess, duration, timeout time.Duration) {
+func (w *world) submitJob(e *entryProcess, duration, timeout time.Duration) *callerJob {
 	j := &callerJob{world: w, id: fmt.Sprintf("job-%d", len(w.jobs)), duration: duration, timeout: timeout, refusedBy: map[ident.Process]bool{}, accepted: map[ident.Process]int{}}
 	w.jobs[j.id] = j
 	j.submit(e)
+	return j
 }
--- a/internal/decision/ownership/model_faults_test.go
+++ b/internal/decision/ownership/model_faults_test.go
@@ -87,6 +87,12 @@
 	"the expiry of leases at a worker that stands still": {func(g *guards) { g.leaseExpiry = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
 		w.workers[0].stall(4 * time.Second)
 	}},
+	"giving up jobs that were submitted again": {func(g *guards) { g.superseded = false }, 300 * ms, 9 * time.Second, func(w *world) {
+		w.workers[1].crash(2500*ms, true) // the two submissions meet at worker 0
+		w.after(time.Second, func() {     // the first job has ended
+			w.submitJob(w.entries[0], 3*time.Second, jobTimeout).breakConnection()
+		})
+	}},
 	"the age of batches": {func(g *guards) { g.batchAge = false }, 300 * ms, 8 * time.Second, func(w *world) {
 		w.after(time.Second, func() { // the first job has ended
 			d := w.random(2400*ms, 3200*ms)
--- a/internal/decision/ownership/model_guards_test.go
+++ b/internal/decision/ownership/model_guards_test.go
@@ -17,9 +17,12 @@
 	// leaseExpiry: runs at a worker out of contact end when their leases have expired.
 	// responsive: a sidecar whose batch was abandoned is used again.
 	unanswered, fencing, restart, leaseExpiry, responsive bool
+	// superseded: an owner gives up a job of which it hears that another one has a later
+	// submission.
+	superseded bool
 }
 
 var allGuards = guards{
 	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
-	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true,
 }
--- a/internal/decision/ownership/model_sidecar_test.go
+++ b/internal/decision/ownership/model_sidecar_test.go
@@ -211,6 +211,9 @@
 			case occupancy.StopRun:
 				s.stopRun(a.Run)
 			case occupancy.ReportEnd:
+				if a.End.Outcome == work.Superseded && !s.world.guards.superseded {
+					a.End.Outcome = work.Lost
+				}
 				if o := s.ownerOf(a.Owner); o != nil {
 					o.pendingEnds = append(o.pendingEnds, a.End)
 				}
--- a/internal/decision/placement/batch.go
+++ b/internal/decision/placement/batch.go
@@ -90,5 +90,6 @@
 		EstimateMs: max(j.estimate(t.step).Milliseconds(), 1),
 		MaxWaitMs:  max((j.waitLimit(t) - now).Milliseconds(), 1),
 		NoWait:     noWait,
+		JobAgeMs:   max((now - j.submittedAt).Milliseconds(), 1),
 	})
 }
--- a/internal/decision/placement/contact_test.go
+++ b/internal/decision/placement/contact_test.go
@@ -56,3 +56,27 @@
 		t.Errorf("batches %+v after the return, want one that stops %v", batches, run)
 	}
 }
+
+// TestSuperseded guards against a task that is started again after its caller has submitted
+// the job to another entry instance, and against an answer that says that the job has not run.
+func TestSuperseded(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit(newJobSpec("a", 12, 300*ms))
+	runs := h.takeRuns()
+	if len(runs) != 2 || len(runs[process(0)])+len(runs[process(1)]) != 12 {
+		t.Fatalf("runs %v, want 12 at two workers", runs)
+	}
+	h.now += 50 * ms
+	h.endRun(process(0), runs[process(0)][0], work.Superseded)
+	if a, ok := h.answers["a"]; !ok || a.State != work.Unfinished || a.Reason != work.ReasonSuperseded {
+		t.Errorf("answer %+v, %v", a, ok)
+	}
+	starts, stops := 0, 0
+	for _, b := range h.takeBatches() {
+		starts += len(b.Runs)
+		stops += len(b.Stops)
+	}
+	if starts > 0 || stops != 11 {
+		t.Errorf("%d starts and %d stops, want none and 11", starts, stops)
+	}
+}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -111,6 +111,10 @@
 			m.answer(now, j, work.Answer{State: work.Failed, Reason: work.ReasonMaxFailedRuns})
 			return
 		}
+	case work.Superseded:
+		// Nobody waits for the answer here, and a run elsewhere would be a second one.
+		m.answer(now, j, work.Answer{State: work.Unfinished, Reason: work.ReasonSuperseded})
+		return
 	case work.Outdated:
 	case work.NoRoom:
 		t.noRoomEnds++
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -31,6 +31,11 @@
 	// NoWait is true if the sidecar is to return the task instead of queueing it,
 	// because another worker probably has free capacity.
 	NoWait bool `msgpack:"o,omitempty"`
+	// JobAgeMs is the time since the job was submitted to the sender, in milliseconds, at
+	// least 1. Of two entry instances with runs of a task, the one with the later submission
+	// keeps its run. Zero means that the sender is of an earlier release and does not know
+	// the outcome work.Superseded.
+	JobAgeMs int64 `msgpack:"h,omitempty"`
 }
 
 // RunBatch asks a sidecar to start runs and to stop others. The sidecar carries
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -27,7 +27,7 @@
 	}
 	for i := range b.Runs {
 		r := &b.Runs[i]
-		if !r.Need.Valid() || !validMs(r.EstimateMs) || !validMs(r.MaxWaitMs) || r.Rank < 0 || !validRun(r.Run) {
+		if !r.Need.Valid() || !validMs(r.EstimateMs) || !validMs(r.MaxWaitMs) || !validMs(r.JobAgeMs) || r.Rank < 0 || !validRun(r.Run) {
 			return errors.NotValidf("run %+v: need %+v, rank %d, estimate %d ms, wait %d ms", r.Run, r.Need, r.Rank, r.EstimateMs, r.MaxWaitMs)
 		}
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -120,6 +120,7 @@
 	ReasonMalformed     Reason = "malformed request"
 	ReasonStopping      Reason = "process stops"
 	ReasonOutOfContact  Reason = "instance was paused or cut off"
+	ReasonSuperseded    Reason = "submitted again elsewhere"
 )
 
 // Answer is the final answer to a job.
@@ -167,11 +168,15 @@
 	// NoRoom means that the run was not to wait and the worker had too little free
 	// capacity. The run has not started and never will.
 	NoRoom
+	// Superseded means that the job has been submitted again at another entry instance,
+	// where a later submission has a run of the task. The run may have started and has
+	// ended, whatever its result. The job is not to be run any more.
+	Superseded
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	names := [...]string{"done", "failed", "not run", "lost", "stalled", "outdated", "no room"}
+	names := [...]string{"done", "failed", "not run", "lost", "stalled", "outdated", "no room", "superseded"}
 	if !o.Valid() {
 		return "unknown outcome " + strconv.Itoa(int(o))
 	}
@@ -179,4 +184,4 @@
 }
 
 // Valid reports whether o is one of the outcomes. Messages may hold any number.
-func (o Outcome) Valid() bool { return o <= NoRoom }
+func (o Outcome) Valid() bool { return o <= Superseded }
