placement, runner: an end that is reported twice is handled once

What callers would see: a task with two runs at a time, after a job was submitted again to the entry instance that had given it up before.

Cause: a report without an acknowledgement in time is sent again, and after a pause or a short cut both arrive, in any order and with other messages between them. Submissions of a job count attempts from 1 each. If the job is submitted again between the two, the second report ends the new run of the same number at that worker; it is of the same session, so that it is not ignored.

Change: the ends of a session are numbered (EndBatch.FirstEnd), and the entry instance keeps the number of the newest end of each sidecar process. Ends up to that are ignored, with E8018 if that is the whole report. Reports of earlier releases have no numbers and are handled as before.

Why it works: a sidecar moves on to the next end only when the earlier ones are acknowledged, and starts at 1 only in a new session, so an end has one number, and a number names one end.

Evidence: TestRepeatedReport fails without the check (attempt 2 is sent while attempt 1 of the new submission is at the worker); TestEndNumbers checks the numbering.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -246,7 +246,7 @@
 		c.noteClock(now, &req.Load)
 	}
 	b.machine.SetLoad(now, req.Sidecar, req.Load)
-	if !b.machine.RunsEnded(now, req.Sidecar, req.Session, req.Ends) {
+	if !b.machine.RunsEnded(now, req) {
 		event.LogRateLimited(event.ReportIgnored, "sidecar", req.Sidecar.String(), "session", req.Session, "ends", len(req.Ends))
 	}
 	b.runMachine(now)
--- a/internal/decision/ownership/model_sidecar_test.go
+++ b/internal/decision/ownership/model_sidecar_test.go
@@ -32,6 +32,7 @@
 	ownership.Owner
 	entry       *entryProcess
 	pendingEnds []wire.RunEnd
+	ackedEnds   uint64
 	sending     bool
 	beating     bool // extraHeartbeat runs
 }
@@ -89,7 +90,7 @@
 func (s *sidecarProcess) drop(o *modelOwner) {
 	if o.Live() {
 		o.Drop()
-		o.pendingEnds = nil
+		o.pendingEnds, o.ackedEnds = nil, 0
 		s.m.DropOwner(s.clock(), o.entry.id)
 	}
 }
@@ -233,19 +234,20 @@
 		return
 	}
 	o.sending = true
-	ends, load, sentAt, session := slices.Clone(o.pendingEnds), s.load(o), s.clock(), o.Session()
+	ends, firstEnd, load, sentAt, session := slices.Clone(o.pendingEnds), o.ackedEnds+1, s.load(o), s.clock(), o.Session()
 	s.world.call(&s.process, &o.entry.process, func() {
 		if c := o.entry.clients[s.id]; c != nil {
 			c.noteClock(s.world.now, load)
 		}
 		o.entry.m.SetLoad(s.world.now, s.id, load)
-		o.entry.m.RunsEnded(s.world.now, s.id, session, ends)
+		o.entry.m.RunsEnded(s.world.now, &wire.EndBatch{Sidecar: s.id, Session: session, FirstEnd: firstEnd, Ends: ends})
 		o.entry.step()
 	}, func(r callResult) {
 		o.sending = false
 		if r == answered && o.Session() == session {
 			o.ReportAnswered(sentAt, session)
 			o.pendingEnds = o.pendingEnds[len(ends):]
+			o.ackedEnds += uint64(len(ends))
 		}
 		s.dropSilentOwners()
 		s.step()
--- a/internal/decision/placement/contact_test.go
+++ b/internal/decision/placement/contact_test.go
@@ -25,7 +25,7 @@
 		t.Fatalf("runs %v and %v", first.Run, second.Run)
 	}
 	for _, outcome := range []work.Outcome{work.NoRoom, work.Lost, work.Done} {
-		h.m.RunsEnded(h.now, side, 1, []wire.RunEnd{{Run: first.Run, Outcome: outcome}})
+		h.m.RunsEnded(h.now, &wire.EndBatch{Sidecar: side, Session: 1, Ends: []wire.RunEnd{{Run: first.Run, Outcome: outcome}}})
 		h.collect()
 		if runs, unanswered := h.takeRuns(), h.m.UnansweredJobs(); len(runs) > 0 || unanswered != 1 {
 			t.Fatalf("a delayed %v: runs %v, %d jobs without an answer", outcome, runs, unanswered)
@@ -80,3 +80,36 @@
 		t.Errorf("%d starts and %d stops, want none and 11", starts, stops)
 	}
 }
+
+// TestRepeatedReport guards against a report that is delivered twice and ends the same run of
+// a later submission of the job, whose task is then started again beside it.
+func TestRepeatedReport(t *testing.T) {
+	for name, later := range map[string]int{"alone": 0, "with further ends": 1} {
+		h := newHarness(t, 1)
+		h.heartbeat(0, 1, 32000)
+		side := process(0)
+		h.submit(newJobSpec("a", 1, 60*ms))
+		first := h.takeRuns()[side][0]
+		h.m.CallerLeft(h.now, "a")
+		h.collect()
+		delete(h.answers, "a")
+		report := wire.EndBatch{Sidecar: side, Session: 1, FirstEnd: 5, Ends: []wire.RunEnd{{Run: first.Run, Outcome: work.Lost}}}
+		if !h.m.RunsEnded(h.now, &report) {
+			t.Fatalf("%s: the first report is ignored", name)
+		}
+		h.submit(newJobSpec("a", 1, 60*ms))
+		if runs := h.takeRuns(); len(runs[side]) != 1 || runs[side][0].Run != first.Run {
+			t.Fatalf("%s: runs %v, want %v again", name, runs, first.Run)
+		}
+		h.submit(newJobSpec("b", 1, 60*ms))
+		other := h.takeRuns()[side][0]
+		for range later {
+			report.Ends = append(report.Ends, wire.RunEnd{Run: other.Run, Outcome: work.Done})
+		}
+		h.m.RunsEnded(h.now, &report)
+		h.collect()
+		if runs, unanswered := h.takeRuns(), h.m.UnansweredJobs(); len(runs) > 0 || unanswered != 2-later {
+			t.Errorf("%s: runs %v, %d jobs without an answer, want none and %d", name, runs, unanswered, 2-later)
+		}
+	}
+}
--- a/internal/decision/placement/harness_test.go
+++ b/internal/decision/placement/harness_test.go
@@ -101,6 +101,6 @@
 
 // endRun reports the end of a run.
 func (h *harness) endRun(sidecar ident.Process, r wire.RunRequest, outcome work.Outcome) {
-	h.m.RunsEnded(h.now, sidecar, h.m.workers[sidecar].session, []wire.RunEnd{{Run: r.Run, Outcome: outcome, RunMs: 50}})
+	h.m.RunsEnded(h.now, &wire.EndBatch{Sidecar: sidecar, Session: h.m.workers[sidecar].session, Ends: []wire.RunEnd{{Run: r.Run, Outcome: outcome, RunMs: 50}}})
 	h.collect()
 }
--- a/internal/decision/placement/incarnation.go
+++ b/internal/decision/placement/incarnation.go
@@ -18,6 +18,8 @@
 	order uint64
 	// lastSeen is the time of its last heartbeat.
 	lastSeen time.Duration
+	// newestEnd is the number of the newest end that it has reported in a session.
+	session, newestEnd uint64
 }
 
 // replaced reports whether a later incarnation of the sidecar is in use. A network
@@ -75,3 +77,21 @@
 		}
 	}
 }
+
+// newEnds returns the ends in a report that no earlier one has named, and records them. The
+// network may deliver a report again, and late.
+func (m *Machine) newEnds(report *wire.EndBatch) []wire.RunEnd {
+	i := m.incarnations[report.Sidecar.Instance][report.Sidecar.Incarnation]
+	if i == nil || report.FirstEnd == 0 {
+		return report.Ends
+	}
+	if i.session != report.Session {
+		i.session, i.newestEnd = report.Session, 0
+	}
+	known := uint64(0) // number of ends in the report that are known
+	if i.newestEnd >= report.FirstEnd {
+		known = min(i.newestEnd-report.FirstEnd+1, uint64(len(report.Ends)))
+	}
+	i.newestEnd = max(i.newestEnd, report.FirstEnd+uint64(len(report.Ends))-1)
+	return report.Ends[known:]
+}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
@@ -66,22 +65,23 @@
 }
 
 // RunsEnded records the ends of runs that a sidecar has reported. It ignores a report of an
-// earlier session: its runs are known to have ended, and a job that has been submitted again
-// uses their numbers again. Sidecars of earlier releases report the session 0. RunsEnded
-// returns false if it ignored the report.
-func (m *Machine) RunsEnded(now time.Duration, sidecar ident.Process, session uint64, ends []wire.RunEnd) bool {
+// earlier session and the ends that an earlier report has named: these runs are known to have
+// ended, and a job that has been submitted again uses their numbers again. Sidecars of earlier
+// releases report the session 0. RunsEnded returns false if it ignored the whole report.
+func (m *Machine) RunsEnded(now time.Duration, report *wire.EndBatch) bool {
 	m.checkContacts(now)
-	w := m.workers[sidecar]
-	if w == nil || session != 0 && session != w.session {
+	w := m.workers[report.Sidecar]
+	if w == nil || report.Session != 0 && report.Session != w.session {
 		return false
 	}
+	ends := m.newEnds(report)
 	for _, e := range ends {
 		if t := w.tasks[e.Run]; t != nil {
 			m.endRun(now, t, e)
 		}
 	}
 	m.retryWaiting(now)
-	return true
+	return len(ends) > 0
 }
 
 // endRun records the end of a task's newest run. It answers the job, places the
--- a/internal/decision/placement/simulation/worker_test.go
+++ b/internal/decision/placement/simulation/worker_test.go
@@ -167,7 +167,7 @@
 	load := w.loadSummary(e)
 	w.sim.afterNetworkDelay(func() {
 		e.m.SetLoad(w.sim.now, w.id, load)
-		e.m.RunsEnded(w.sim.now, w.id, 0, ends)
+		e.m.RunsEnded(w.sim.now, &wire.EndBatch{Sidecar: w.id, Ends: ends})
 		e.step()
 		w.sim.afterNetworkDelay(func() {
 			w.sending[e] = false
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -90,7 +90,7 @@
 	}
 	ReportIgnored = &Event{
 		Number: 8018, Severity: Info, Name: "report ignored",
-		Meaning: "A message about runs or a worker was ignored because it is of an earlier state: an entry instance got a report of an earlier session of a sidecar, or a sidecar a report or deregistration of an earlier process of its worker.",
+		Meaning: "A message about runs or a worker was ignored because it is of an earlier state: an entry instance got a report of an earlier session of a sidecar or one that it had handled before, or a sidecar a report or deregistration of an earlier process of its worker.",
 		Action:  "None after a restart, a pause or a network interruption; otherwise check the clocks of the worker's machine.",
 	}
 )
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -22,7 +22,9 @@
 	client  *entryClient
 	// pendingEnds are the ends of runs that the owner has not acknowledged.
 	pendingEnds []wire.RunEnd
-	sending     bool // sendEnds is running
+	// ackedEnds is the number of ends that the owner has acknowledged in the session.
+	ackedEnds uint64
+	sending   bool // sendEnds is running
 }
 
 // busy reports whether the owner has runs here, or ends that it has not acknowledged; mu
@@ -71,7 +73,7 @@
 		return
 	}
 	o.Drop()
-	o.pendingEnds = nil
+	o.pendingEnds, o.ackedEnds = nil, 0
 	runs := r.machine.DropOwner(now, o.process)
 	event.LogRateLimited(event.OwnerLost, "owner", o.process.String(), "reason", reason, "silentMs", silence.Milliseconds(),
 		"runs", len(runs), "jobs", jobNames(runs))
@@ -118,7 +120,7 @@
 	r := o.runner
 	now := r.lockAndDropSilentOwners()
 	for len(o.pendingEnds) > 0 && o.Live() && r.ctx.Err() == nil {
-		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Session: o.Session(), Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
+		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Session: o.Session(), FirstEnd: o.ackedEnds + 1, Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
 		sentAt, session := now, o.Session()
 		r.mu.Unlock()
 		var reply wire.EndReply
@@ -131,6 +133,7 @@
 		if err == nil && o.Session() == session {
 			o.ReportAnswered(sentAt, session)
 			o.pendingEnds = o.pendingEnds[len(batch.Ends):]
+			o.ackedEnds += uint64(len(batch.Ends))
 			if reply.WrongIncarnation {
 				r.dropOwner(now, o, "another process answers", 0)
 			}
--- a/internal/runner/owner_test.go
+++ b/internal/runner/owner_test.go
@@ -14,10 +14,17 @@
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// reportReceiver is the RPC service of an entry instance that acknowledges all reports.
-type reportReceiver struct{}
+// reportReceiver is the RPC service of an entry instance that acknowledges all reports. It
+// passes them to reports if that is not nil.
+type reportReceiver struct{ reports chan wire.EndBatch }
 
-func (reportReceiver) Ends(*wire.EndBatch, *wire.EndReply) error { return nil }
+// Ends implements the method of the entry instance's RPC service that the sidecar calls.
+func (r reportReceiver) Ends(b *wire.EndBatch, _ *wire.EndReply) error {
+	if r.reports != nil {
+		r.reports <- *b
+	}
+	return nil
+}
 
 // newStoppedRunner returns a sidecar that is not running.
 func newStoppedRunner(t *testing.T) *Runner {
@@ -36,7 +43,7 @@
 
 // ownerWithRun returns an owner with an active run and an end to report, whose last
 // contact was the given time ago.
-func ownerWithRun(t *testing.T, silence time.Duration) *owner {
+func ownerWithRun(t *testing.T, silence time.Duration, receiver reportReceiver) *owner {
 	t.Helper()
 	r := newStoppedRunner(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -44,7 +51,7 @@
 		t.Fatal(err)
 	}
 	server := rpcnet.NewServer()
-	if err := server.Register(wire.ServiceBroker, reportReceiver{}); err != nil {
+	if err := server.Register(wire.ServiceBroker, receiver); err != nil {
 		t.Fatal(err)
 	}
 	go server.Serve(listener)
@@ -80,7 +87,7 @@
 		"in contact": {-time.Hour, true},
 		"paused":     {2 * time.Second, false},
 	} {
-		o := ownerWithRun(t, c.silence)
+		o := ownerWithRun(t, c.silence, reportReceiver{})
 		o.sending = true
 		o.sendEnds()
 		if o.Live() != c.live || len(o.pendingEnds) > 0 {
@@ -101,3 +108,25 @@
 		t.Errorf("heartbeats say %+v, want the token %d and no worker", info, token)
 	}
 }
+
+// TestEndNumbers guards against an end that the owner ignores because another one had its
+// number, or handles twice.
+func TestEndNumbers(t *testing.T) {
+	receiver := reportReceiver{make(chan wire.EndBatch, 3)}
+	o := ownerWithRun(t, -time.Hour, receiver)
+	send := func(ends int) uint64 {
+		o.pendingEnds = make([]wire.RunEnd, ends)
+		o.sending = true
+		o.sendEnds()
+		return (<-receiver.reports).FirstEnd
+	}
+	if a, b := send(1), send(3); a != 1 || b != 2 {
+		t.Errorf("the reports begin with the ends %d and %d, want 1 and 2", a, b)
+	}
+	now := clock.SinceBoot()
+	o.runner.dropOwner(now, o, "", 0)
+	o.HeartbeatAnswered(now+time.Hour, now+time.Hour, o.Session())
+	if first := send(1); first != 1 {
+		t.Errorf("the first report of a session begins with the end %d", first)
+	}
+}
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -119,9 +119,13 @@
 	Sidecar ident.Process `msgpack:"s"`
 	// Session is the session of the owner in which the runs have ended. The owner ignores
 	// a report of an earlier one, which was delayed.
-	Session uint64   `msgpack:"i"`
-	Ends    []RunEnd `msgpack:"n"`
-	Load    Load     `msgpack:"l"`
+	Session uint64 `msgpack:"i"`
+	// FirstEnd is the number of the first of Ends. The ends that a sidecar reports in a
+	// session are numbered from 1, so that the owner handles each of them once. Zero means
+	// that the sidecar is of an earlier release.
+	FirstEnd uint64   `msgpack:"f,omitempty"`
+	Ends     []RunEnd `msgpack:"n"`
+	Load     Load     `msgpack:"l"`
 }
 
 // EndReply acknowledges an EndBatch.
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -36,8 +36,8 @@
 
 // Validate checks the values of a report. Errors satisfy errors.IsNotValid.
 func (b *EndBatch) Validate() error {
-	if len(b.Ends) > maxCount {
-		return errors.NotValidf("report of %d ends", len(b.Ends))
+	if len(b.Ends) > maxCount || b.FirstEnd > maxCounter {
+		return errors.NotValidf("report of %d ends from %d", len(b.Ends), b.FirstEnd)
 	}
 	for i := range b.Ends {
 		if e := &b.Ends[i]; !e.Outcome.Valid() || !validMs(e.RunMs) {
