--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -31,6 +31,11 @@
 	// NoWait is true if the sidecar is to return the task instead of queueing it,
 	// because another worker probably has free capacity.
 	NoWait bool `msgpack:"o,omitempty"`
+	// JobAgeMs is the time since the job was submitted to the sender, in milliseconds, at
+	// least 1. Of two entry instances with runs of a task, the one with the later submission
+	// keeps its run. Zero means that the sender is of an earlier release and does not know
+	// the outcome work.Superseded.
+	JobAgeMs int64 `msgpack:"h,omitempty"`
 }
 
 // RunBatch asks a sidecar to start runs and to stop others. The sidecar carries
@@ -114,9 +119,13 @@
 	Sidecar ident.Process `msgpack:"s"`
 	// Session is the session of the owner in which the runs have ended. The owner ignores
 	// a report of an earlier one, which was delayed.
-	Session uint64   `msgpack:"i"`
-	Ends    []RunEnd `msgpack:"n"`
-	Load    Load     `msgpack:"l"`
+	Session uint64 `msgpack:"i"`
+	// FirstEnd is the number of the first of Ends. The ends that a sidecar reports in a
+	// session are numbered from 1, so that the owner handles each of them once. Zero means
+	// that the sidecar is of an earlier release.
+	FirstEnd uint64   `msgpack:"f,omitempty"`
+	Ends     []RunEnd `msgpack:"n"`
+	Load     Load     `msgpack:"l"`
 }
 
 // EndReply acknowledges an EndBatch.
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -27,7 +27,7 @@
 	}
 	for i := range b.Runs {
 		r := &b.Runs[i]
-		if !r.Need.Valid() || !validMs(r.EstimateMs) || !validMs(r.MaxWaitMs) || r.Rank < 0 || !validRun(r.Run) {
+		if !r.Need.Valid() || !validMs(r.EstimateMs) || !validMs(r.MaxWaitMs) || !validMs(r.JobAgeMs) || r.Rank < 0 || !validRun(r.Run) {
 			return errors.NotValidf("run %+v: need %+v, rank %d, estimate %d ms, wait %d ms", r.Run, r.Need, r.Rank, r.EstimateMs, r.MaxWaitMs)
 		}
 	}
@@ -36,8 +36,8 @@
 
 // Validate checks the values of a report. Errors satisfy errors.IsNotValid.
 func (b *EndBatch) Validate() error {
-	if len(b.Ends) > maxCount {
-		return errors.NotValidf("report of %d ends", len(b.Ends))
+	if len(b.Ends) > maxCount || b.FirstEnd > maxCounter {
+		return errors.NotValidf("report of %d ends from %d", len(b.Ends), b.FirstEnd)
 	}
 	for i := range b.Ends {
 		if e := &b.Ends[i]; !e.Outcome.Valid() || !validMs(e.RunMs) {
