runner: a new fencing token for each process of the worker

Callers would see two runs of a task at the same time, or a run of a job that was refused: a start call without an answer is carried out seconds later by the worker's next process, if that one has the identifier of the one before.

Cause: such a call is voided by a stop at the process that has received it. The next process knows nothing of the stop. It has seen no fencing token, so that the call's token passes, also after the sidecar has shown its own, which is the same. The call's lease end is far ahead on the new clock. In the same way, a late status request could acknowledge ends that the next process had not listed, whose tasks would be started again though they were done.

TestEarlierCallsFenced fails before the change.

Change: the sidecar raises its token by one when it learns of another process of the worker, by a status, a report or refused connections, and goes on with status requests until one with the new token is answered. A call that is carried out before the sidecar has learned of the new process is not prevented either.

The token rises by one per process of the worker, so that it stays below that of the sidecar's successor, which is its start in milliseconds. A refusal of an earlier token no longer adds ten minutes to the present one, and a start call answered by an exited process no longer sets the clock of the leases (TestStartAnsweredByExitedProcess fails before the change in both).

Cost: at most one status request more for each new process of a worker.

--- a/internal/decision/ownership/model_faults_test.go
+++ b/internal/decision/ownership/model_faults_test.go
@@ -75,6 +75,11 @@
 			w.after(time.Duration(i)*time.Second, func() { w.submitJob(w.entries[1], 1500*ms, jobTimeout) })
 		}
 	}},
+	"the fencing of calls to an earlier worker process": {func(g *guards) { g.lifeToken = false }, 8 * time.Second, 15 * time.Second, func(w *world) {
+		w.workers[0].lateUntil = w.now + 500*ms
+		w.submitJob(w.entries[0], 8*time.Second, jobTimeout)
+		w.after(w.random(600*ms, time.Second), func() { w.workers[0].crash(w.random(0, 500*ms), true) })
+	}},
 	"the stop of runs at the next worker process": {func(g *guards) { g.restart = false }, 300 * ms, 8 * time.Second, func(w *world) {
 		w.after(time.Second, func() { // no run is active, so that no status is requested
 			w.workers[0].crash(0, true)
--- a/internal/decision/ownership/model_guards_test.go
+++ b/internal/decision/ownership/model_guards_test.go
@@ -16,10 +16,11 @@
 	// restart: a run that the next worker process may have is stopped there.
 	// leaseExpiry: runs at a worker out of contact end when their leases have expired.
 	// responsive: a sidecar whose batch was abandoned is used again.
-	unanswered, fencing, restart, leaseExpiry, responsive bool
+	// lifeToken: calls to an earlier life of the worker have no effect at the next one.
+	unanswered, fencing, restart, leaseExpiry, responsive, lifeToken bool
 }
 
 var allGuards = guards{
 	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
-	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, lifeToken: true,
 }
--- a/internal/decision/ownership/model_supervisor_test.go
+++ b/internal/decision/ownership/model_supervisor_test.go
@@ -32,7 +32,11 @@
 type supervisor struct {
 	worker *worker
 	token  int64
-	report report
+	// tokenRaisedAt is the time at which the token was raised for a new life, and born that
+	// life, zero if it is unknown.
+	tokenRaisedAt time.Duration
+	born          int64
+	report        report
 	// reportedAt is the time of the newest report, and statusBorn the life that has sent
 	// the newest status.
 	reportedAt time.Duration
@@ -79,7 +83,7 @@
 					life = k.life // a call in flight may reach the next life
 				}
 				if w.now < k.lateUntil && w.rnd.Intn(2) == 0 {
-					w.after(w.random(2*time.Second, 12*time.Second), func() { k.do(life, execute) })
+					w.after(w.random(2*time.Second, 12*time.Second), func() { k.doLate(life, execute) })
 					return
 				}
 				k.do(life, func() {
@@ -130,9 +134,11 @@
 				reply.result = occupancy.Rejected
 			}
 		case answered:
-			s.setWorkerClock(reply.clock)
-			if reply.fenced {
-				s.token += tokenStep
+			if c.token == s.token {
+				s.setWorkerClock(reply.clock)
+				if reply.fenced {
+					s.token += tokenStep
+				}
 			}
 		}
 		s.m.StartAnswered(s.clock(), run, reply.result, "")
@@ -191,11 +197,14 @@
 func (s *sidecarProcess) handleStatus(requestedAt time.Duration, reply statusReply) bool {
 	now := s.clock()
 	if reply.fenced {
-		s.token += tokenStep
+		if requestedAt >= s.tokenRaisedAt {
+			s.token += tokenStep
+		}
 		return false
 	}
 	if reply.born != s.statusBorn {
 		s.statusBorn = reply.born
+		s.setLife(reply.born)
 		if reply.born != s.report.born {
 			s.lastSeenEnd = 0
 			s.setWorker(occupancy.Worker{Incarnation: reply.born})
@@ -216,7 +225,7 @@
 		status.Ended = append(status.Ended, occupancy.EndedRun{Run: e.run, Outcome: e.outcome})
 	}
 	s.m.ApplyStatus(now, status)
-	return !s.unackedEnds && s.m.NumActive() == 0
+	return !s.unackedEnds && s.m.NumActive() == 0 && requestedAt >= s.tokenRaisedAt
 }
 
 func (s *sidecarProcess) handleStatusFailure(requestedAt time.Duration, r callResult) {
@@ -228,6 +237,7 @@
 	}
 	if s.refusals >= 2 {
 		s.inContact = false
+		s.setLife(0)
 		s.m.WorkerExited(now, requestedAt)
 	}
 	if now-s.lastStatusAt > workerTimeout {
@@ -248,6 +258,7 @@
 	}
 	s.report, s.reportedAt = r, s.clock()
 	if !sameLife {
+		s.setLife(r.born)
 		s.lastSeenEnd, s.inContact = 0, false
 	}
 	s.setWorker(occupancy.Worker{ID: r.id, Incarnation: r.born, Capacity: work.Resources{MilliCPU: 4000, MemoryMB: 1000}})
@@ -256,6 +267,16 @@
 	}
 }
 
+// setLife records which life of the worker is known to run, and raises the fencing token if it
+// is another one than before.
+func (s *sidecarProcess) setLife(born int64) {
+	if s.born != 0 && s.born != born && s.world.guards.lifeToken {
+		s.token++
+		s.tokenRaisedAt = s.clock()
+	}
+	s.born = born
+}
+
 func (s *sidecarProcess) setWorker(next occupancy.Worker) {
 	if !s.world.guards.restart && next.Incarnation != s.setIncarnation {
 		s.m.WorkerExited(s.clock(), s.clock()) // takes each run for one of the earlier process
--- a/internal/decision/ownership/model_worker_calls_test.go
+++ b/internal/decision/ownership/model_worker_calls_test.go
@@ -149,6 +149,9 @@
 	if k.fenced(c.token) {
 		return statusReply{fenced: true}
 	}
+	if k.answeredAt == 0 {
+		k.answeredAt = k.world.now
+	}
 	if c.leaseEnd > 0 {
 		k.extendLeases(c.leaseEnd)
 	}
--- a/internal/decision/ownership/model_worker_test.go
+++ b/internal/decision/ownership/model_worker_test.go
@@ -40,6 +40,9 @@
 	// leaseEnd is the end of all leases, on the worker's clock.
 	leaseEnd time.Duration
 
+	// answeredAt is the time of the first status of this life, zero before it.
+	answeredAt time.Duration
+
 	// stalled is true while the worker stands still; later holds the calls of that time.
 	stalled bool
 	later   []func()
@@ -68,7 +71,7 @@
 	k.life++
 	k.id, k.born, k.sequence, k.bornAt, k.rate = id, (epoch + w.now).Milliseconds(), 0, w.now, 1-0.02*w.rnd.Float64()
 	k.running, k.highest = map[work.RunID]*runningTask{}, map[work.TaskID]int{}
-	k.ended, k.lastEnd, k.token, k.leaseEnd = nil, 0, 0, 0
+	k.ended, k.lastEnd, k.token, k.leaseEnd, k.answeredAt = nil, 0, 0, 0, 0
 	k.stalled, k.later, k.up = false, nil, true
 	life := k.life
 	w.after(w.random(0, 300*ms), func() { k.report(life) })
@@ -118,6 +121,17 @@
 	}
 }
 
+// doLate carries out a call to a life, seconds late. If that life has ended meanwhile, the
+// present one carries out the call, but not before its sidecar has learned of it: nothing
+// could prevent that.
+func (k *worker) doLate(life int, f func()) {
+	const noticeTime = 200 * ms
+	if k.life != life && k.answeredAt > 0 && k.world.now > k.answeredAt+noticeTime {
+		life = k.life
+	}
+	k.do(life, f)
+}
+
 func (k *worker) stall(d time.Duration) {
 	if k.stalled || !k.up {
 		return
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 	next := report(2, 1)
 	next.Address = "127.0.0.1:2"
 	r.HandleReport(next)
-	s.handleStartReply(run, StartReply{Result: occupancy.Accepted})
+	s.handleStartReply(StartRequest{Run: run}, StartReply{Result: occupancy.Accepted})
 	r.supervisor.handleStatus(clock.SinceBoot()+time.Millisecond, StatusReply{Incarnation: 2, ClockMs: 3})
 	if active := r.machine.NumActive(); active != 0 {
 		t.Errorf("%d runs are active on a worker that executes none", active)
@@ -143,3 +144,58 @@
 		t.Errorf("leases end at %d ms on a clock that began anew", req.LeaseEndMs)
 	}
 }
+
+// Guards against a call that an exited worker process has left unanswered and that has effect,
+// seconds later, at the next process, beside another run of the task or unseen by the sidecar.
+func TestEarlierCallsFenced(t *testing.T) {
+	for name, notice := range map[string]func(s *supervisor) (pause bool){
+		"seen in a status": func(s *supervisor) bool {
+			return s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 3})
+		},
+		"seen in a report": func(s *supervisor) bool { s.runner.HandleReport(report(2, 1)); return false },
+		"after two refusals": func(s *supervisor) bool {
+			s.handleStatusFailure(clock.SinceBoot(), syscall.ECONNREFUSED, 2, 2)
+			return false
+		},
+	} {
+		r := newSilentRunner(t)
+		r.HandleReport(report(1, 1))
+		s := r.supervisor
+		if !s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000}) {
+			t.Errorf("%s: an idle worker is polled", name)
+		}
+		before, _ := s.nextStatusRequest()
+		if notice(s) {
+			t.Errorf("%s: polling pauses before the next process has seen another fencing token", name)
+		}
+		after, requestedAt := s.nextStatusRequest()
+		if after.FencingToken <= before.FencingToken {
+			t.Errorf("%s: token %d, want more than that of the exited process, %d", name, after.FencingToken, before.FencingToken)
+		}
+		if !s.handleStatus(requestedAt, StatusReply{Incarnation: 2, ClockMs: 4}) {
+			t.Errorf("%s: polling goes on after the next process has seen the fencing token", name)
+		}
+		if next, _ := s.nextStatusRequest(); next.FencingToken > after.FencingToken+1 {
+			t.Errorf("%s: token %d, raised again from %d", name, next.FencingToken, after.FencingToken)
+		}
+	}
+}
+
+// Guards against leases in the clock of an exited worker process, and against a fencing token
+// that no successor of the sidecar exceeds, from the late answer to a start call.
+func TestStartAnsweredByExitedProcess(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	s := r.supervisor
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
+	req := StartRequest{FencingToken: s.fencingToken}
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 3})
+	offset, token := s.clockOffset, s.fencingToken
+	s.handleStartReply(req, StartReply{Result: occupancy.Rejected, ClockMs: 480001, Fenced: true})
+	if s.clockOffset != offset {
+		t.Errorf("clock offset %v from a worker process that has exited, want %v", s.clockOffset, offset)
+	}
+	if s.fencingToken != token {
+		t.Errorf("token %d after an earlier token was refused, want %d", s.fencingToken, token)
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -52,6 +52,7 @@
 		r.startSupervisor(report.Address)
 	}
 	if report.ID != old.ID || report.Incarnation != old.Incarnation {
+		r.supervisor.setIncarnation(now, report.Incarnation)
 		r.supervisor.lastSeenEnd = 0
 		r.supervisor.inContact = false
 	}
@@ -99,6 +100,7 @@
 		return
 	}
 	r.statusIncarnation = incarnation
+	r.supervisor.setIncarnation(now, incarnation)
 	if incarnation == r.report.Incarnation {
 		return
 	}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -50,6 +50,10 @@
 	runner       *Runner
 	client       WorkerClient
 	fencingToken int64
+	// tokenRaisedAt is the time at which the token was raised for a new worker process, and
+	// incarnation the process for which it was set, zero if that one is unknown.
+	tokenRaisedAt time.Duration
+	incarnation   int64
 	// fencedStatuses is the number of status requests in a row that the worker has
 	// refused because of the fencing token.
 	fencedStatuses int
@@ -85,7 +89,7 @@
 	fencingToken := time.Now().UnixMilli()
 	if r.supervisor != nil {
 		r.supervisor.close()
-		fencingToken = max(fencingToken, r.supervisor.fencingToken)
+		fencingToken = max(fencingToken, r.supervisor.fencingToken+1)
 	}
 	s := &supervisor{runner: r, client: r.dialWorker(address), fencingToken: fencingToken, wakeCh: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(r.ctx)
@@ -99,6 +103,18 @@
 	s.client.Close()
 }
 
+// setIncarnation records which worker process runs, and raises the fencing token if it is
+// another one than before. A call that an earlier process has left unanswered may be carried
+// out seconds later, by the process that runs then; it has no effect there once that process
+// has seen the raised token.
+func (s *supervisor) setIncarnation(now time.Duration, incarnation int64) {
+	if s.incarnation != 0 && s.incarnation != incarnation {
+		s.fencingToken++
+		s.tokenRaisedAt = now
+	}
+	s.incarnation = incarnation
+}
+
 // recordLeaseRequest records that leases starting now are requested, and returns
 // their end in milliseconds of the worker's clock; mu is held.
 func (s *supervisor) recordLeaseRequest(now time.Duration) int64 {
@@ -123,20 +139,23 @@
 		ctx, cancel := context.WithTimeout(s.ctx, startStopTimeout)
 		defer cancel()
 		reply := s.client.StartRun(ctx, req)
-		s.handleStartReply(start.Run, reply)
+		s.handleStartReply(req, reply)
 	}()
 }
 
 // handleStartReply handles the result of a start call.
-func (s *supervisor) handleStartReply(run work.RunID, reply StartReply) {
-	r := s.runner
+func (s *supervisor) handleStartReply(req StartRequest, reply StartReply) {
+	r, run := s.runner, req.Run
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
-	if reply.ClockMs > 0 { // replies to start calls may lack the clock
-		s.setClockOffset(now, reply.ClockMs)
-	}
-	if reply.Fenced {
-		s.fencingToken += fencingTokenStep
+	// A call with an earlier token may have been answered by an earlier worker process.
+	if req.FencingToken == s.fencingToken {
+		if reply.ClockMs > 0 { // replies to start calls may lack the clock
+			s.setClockOffset(now, reply.ClockMs)
+		}
+		if reply.Fenced {
+			s.fencingToken += fencingTokenStep
+		}
 	}
 	// A replaced supervisor's call also has to end: the machine waits for each answer.
 	if reply.Result == occupancy.Unanswered {
@@ -227,7 +246,7 @@
 }
 
 // handleStatus handles a status. It reports whether polling can pause: no run is
-// active and all ended runs are acknowledged.
+// active, all ended runs are acknowledged, and the worker has seen the fencing token.
 func (s *supervisor) handleStatus(requestedAt time.Duration, reply StatusReply) bool {
 	r := s.runner
 	now := r.lockAndDropSilentOwners()
@@ -235,9 +254,12 @@
 	if r.supervisor != s {
 		return false
 	}
+	sentToken := requestedAt >= s.tokenRaisedAt // the request carried the present token
 	if reply.Fenced {
-		s.fencingToken += fencingTokenStep << min(s.fencedStatuses, maxFencingDoublings)
-		s.fencedStatuses++
+		if sentToken {
+			s.fencingToken += fencingTokenStep << min(s.fencedStatuses, maxFencingDoublings)
+			s.fencedStatuses++
+		}
 		return false
 	}
 	s.fencedStatuses = 0
@@ -254,7 +276,7 @@
 	}
 	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: requestedAt, Running: reply.Running, Ended: reply.Ended})
 	r.updateAvailability(now)
-	return !s.unackedEnds && r.machine.NumActive() == 0
+	return !s.unackedEnds && r.machine.NumActive() == 0 && requestedAt >= s.tokenRaisedAt
 }
 
 // waitForRuns waits until runs may be active again.
@@ -282,6 +304,7 @@
 	event.LogRateLimited(event.OrderUnanswered, "order", "look", "worker", r.report.ID, "failures", failures, "err", err)
 	if refusals >= minRefusals {
 		s.inContact = false
+		s.setIncarnation(now, 0)
 		r.machine.WorkerExited(now, requestedAt)
 	}
 	if now-s.lastStatusAt > workerTimeout {
