runner: extend leases only for runs that are to go on

Callers would see two runs of a task at the same time when the machine of their entry instance is cut off and the sidecar that runs the task is killed: the sidecar's successor finds the run and stops it, but until the stop takes effect its status requests extend the leases of the worker, by 0.95 s each. If the worker leaves the stop calls without an answer and the successor is paused or killed, too, the run outlives the 1.3 s after which the caller submits its job again.

Cause: leases were extended while anything was active at the worker. The limit of 1.2 s after the newest contact with an owner does not bound runs whose owner the successor does not know, nor those that an owner in contact has stopped.

TestLeaseOfRunsThatAreToEnd fails before, for runs of an earlier sidecar process and for runs stopped by their owner.

Change: a status request extends the leases only if an active run is starting or running. Runs that are stopped without effect then end with the lease that they have.

The model's fault "the limit of leases of dropped owners" has runs of a second owner now. Without them the leases of the dropped owner's runs are no longer extended, so that the limit was not needed there.

--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -225,6 +225,18 @@
 // lists although this process has not started them.
 func (m *Machine) NumActive() int { return len(m.runs) - m.queue.Len() + len(m.unknownRuns) }
 
+// NeedsLease reports whether any active run is to go on. Runs that are being stopped, runs that
+// this process has not started, and a start without an answer get no longer lease: if the
+// worker leaves their stop calls unanswered, they end with the lease that they have.
+func (m *Machine) NeedsLease() bool {
+	for _, r := range m.runs {
+		if r.phase == starting || r.phase == running {
+			return true
+		}
+	}
+	return false
+}
+
 // HasRunsOf reports whether any run of an owner is queued or active, or rejected while the
 // run of another owner for the same task is active. It counts the runs of a dropped owner
 // that have not ended yet.
--- a/internal/decision/ownership/model_disturb_test.go
+++ b/internal/decision/ownership/model_disturb_test.go
@@ -144,3 +144,13 @@
 	}
 	w.after(100*time.Microsecond, func() { w.pauseAfterDrop(s) })
 }
+
+// pauseAfterTakeover pauses the successor of a sidecar within 80 ms after it has found a run of
+// its predecessor.
+func (w *world) pauseAfterTakeover(old *sidecarProcess) {
+	if s := w.sidecars[old.worker.index]; s != old && s.m.NumActive() > 0 {
+		w.after(w.random(20*ms, 80*ms), func() { w.pause(&s.process, 3*time.Second) })
+		return
+	}
+	w.after(100*time.Microsecond, func() { w.pauseAfterTakeover(old) })
+}
--- a/internal/decision/ownership/model_faults_test.go
+++ b/internal/decision/ownership/model_faults_test.go
@@ -46,6 +46,10 @@
 		w.after(w.random(450*ms, 650*ms), func() { w.pause(&w.sidecars[0].process, 3*time.Second) })
 	}},
 	"the limit of leases of dropped owners": {func(g *guards) { g.droppedLimit = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		for range 3 { // runs of an owner in contact, for which the leases are extended
+			w.submitJob(w.entries[1], 4*time.Second, jobTimeout)
+		}
+		w.runUntil(w.now + 50*ms)
 		w.isolate(w.entries[0], 5*time.Second)
 		w.pauseAfterDrop(w.sidecars[0])
 	}},
@@ -75,6 +79,12 @@
 			w.after(time.Duration(i)*time.Second, func() { w.submitJob(w.entries[1], 1500*ms, jobTimeout) })
 		}
 	}},
+	"extending leases only for runs that are to go on": {func(g *guards) { g.needsLease = false }, 3 * time.Second, 8 * time.Second, func(w *world) {
+		w.isolate(w.entries[0], 5*time.Second)
+		w.workers[0].lateUntil = w.now + 3*time.Second
+		w.restartSidecar(0)
+		w.pauseAfterTakeover(w.sidecars[0])
+	}},
 	"the fencing of calls to an earlier worker process": {func(g *guards) { g.lifeToken = false }, 8 * time.Second, 15 * time.Second, func(w *world) {
 		w.workers[0].lateUntil = w.now + 500*ms
 		w.submitJob(w.entries[0], 8*time.Second, jobTimeout)
--- a/internal/decision/ownership/model_guards_test.go
+++ b/internal/decision/ownership/model_guards_test.go
@@ -17,10 +17,11 @@
 	// leaseExpiry: runs at a worker out of contact end when their leases have expired.
 	// responsive: a sidecar whose batch was abandoned is used again.
 	// lifeToken: calls to an earlier life of the worker have no effect at the next one.
-	unanswered, fencing, restart, leaseExpiry, responsive, lifeToken bool
+	// needsLease: leases are extended only while a run is to go on.
+	unanswered, fencing, restart, leaseExpiry, responsive, lifeToken, needsLease bool
 }
 
 var allGuards = guards{
 	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
-	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, lifeToken: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, lifeToken: true, needsLease: true,
 }
--- a/internal/decision/ownership/model_supervisor_test.go
+++ b/internal/decision/ownership/model_supervisor_test.go
@@ -171,7 +171,7 @@
 	defer s.step()
 	c := statusCall{token: s.token, lastSeen: s.lastSeenEnd}
 	s.unackedEnds = false
-	if s.inContact && s.clockKnown && s.m.NumActive() > 0 {
+	if s.inContact && s.clockKnown && s.m.NumActive() > 0 && (s.m.NeedsLease() || !s.world.guards.needsLease) {
 		c.leaseEnd = s.requestLease()
 	}
 	requestedAt := s.clock()
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -131,3 +131,44 @@
 		t.Error("no runs are accepted after the last run has ended")
 	}
 }
+
+// Guards against a longer lease for runs that are to end, which outlive the next submission of
+// their job if the worker leaves their stop calls unanswered and the sidecar is paused or killed.
+func TestLeaseOfRunsThatAreToEnd(t *testing.T) {
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	for name, begin := range map[string]func(s *supervisor){
+		"started by an earlier sidecar process": func(s *supervisor) {
+			s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 6, Running: []occupancy.Progress{{Run: run}}})
+		},
+		"stopped by its owner": func(s *supervisor) {
+			submitRun(s.runner, run)
+			if req, _ := s.nextStatusRequest(); req.LeaseEndMs == 0 {
+				t.Error("no lease is requested for a run that is to go on")
+			}
+			s.runner.mu.Lock()
+			s.runner.machine.Stop(clock.SinceBoot(), ident.Process{Instance: "entry"}, run)
+			s.runner.mu.Unlock()
+		},
+	} {
+		r := newSilentRunner(t)
+		r.HandleReport(report(1, 1))
+		s := r.supervisor
+		s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
+		begin(s)
+		if req, _ := s.nextStatusRequest(); req.LeaseEndMs != 0 {
+			t.Errorf("%s: the leases are extended to %d ms", name, req.LeaseEndMs)
+		}
+		submitRun(r, work.RunID{Task: work.TaskID{Job: "b"}, Attempt: 1})
+		if req, _ := s.nextStatusRequest(); r.machine.NeedsLease() && req.LeaseEndMs == 0 {
+			t.Errorf("%s: no lease is requested for another run", name)
+		}
+	}
+}
+
+// submitRun submits a run, whose start call does not return, if the worker accepts runs.
+func submitRun(r *Runner, run work.RunID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine.Submit(clock.SinceBoot(), ident.Process{Instance: "entry"}, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
+	r.machine.Actions() // the test sends the calls
+}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -239,8 +239,10 @@
 	req := StatusRequest{FencingToken: s.fencingToken, LastSeenEnd: s.lastSeenEnd}
 	s.unackedEnds = false
 	if s.inContact && s.clockOffsetKnown && r.machine.NumActive() > 0 {
-		req.LeaseEndMs = s.recordLeaseRequest(now)
 		req.Wait = statusWait
+		if r.machine.NeedsLease() {
+			req.LeaseEndMs = s.recordLeaseRequest(now)
+		}
 	}
 	return req, now
 }
