runner: leases for a clock that has lost time since it was read

Callers would see two runs of a task at the same time if their entry instance falls silent and the sidecar is paused just after it has started a run at a worker that was idle for long.

Cause: the end of a lease is a time on the worker's clock, which is learned from the worker's answers and may be 2% slow. After a minute without calls the sidecar takes it for up to 1.2 s ahead of what it is. The lease of the next start then ends later than 1.2 s after the newest contact with the owners, up to the worker's own limit of 1 s, and a start call that is carried out late is not too late for 1.2 s longer.

Evidence: TestLeaseAfterIdleTime. With the computation as it was, leases end in 2150 ms on a clock that has lost 2% for a minute, want 950 ms.

Change: the end is computed for a clock that has lost 2% since it was read, so that it is never late. The clock in the worker's reports, one every 1.5 s, keeps the difference below 30 ms; a delayed report has no effect, since its clock is behind.

Cost: none per start; one number more in each report that is decoded.

--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -172,3 +172,29 @@
 	r.machine.Submit(clock.SinceBoot(), ident.Process{Instance: "entry"}, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, EstimateMs: 3000, MaxWaitMs: 100}})
 	r.machine.Actions() // the test sends the calls
 }
+
+// Guards against leases that end later than the contact with the owners allows, because the
+// worker's clock has lost time since it was read.
+func TestLeaseAfterIdleTime(t *testing.T) {
+	const idle, clockMs = time.Minute, 1000
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	s := r.supervisor
+	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: clockMs})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := s.clockReadAt + idle
+	leaseMs := (r.cfg.MaxLease - leaseMargin).Milliseconds()
+	slowClockMs := clockMs + (idle * 98 / 100).Milliseconds()
+	if end := s.recordLeaseRequest(now); end > slowClockMs+leaseMs {
+		t.Errorf("leases end in %d ms on a clock that is 2%% slow, want %d ms", end-slowClockMs, leaseMs)
+	}
+	s.setReportedClock(now, slowClockMs-10)
+	if end := s.recordLeaseRequest(now); end < slowClockMs+leaseMs {
+		t.Errorf("leases end in %d ms after a delayed report, want %d ms", end-slowClockMs, leaseMs)
+	}
+	s.setReportedClock(now, slowClockMs+10)
+	if end := s.recordLeaseRequest(now); end != slowClockMs+10+leaseMs {
+		t.Errorf("leases end in %d ms of the reported clock, want %d ms", end-slowClockMs-10, leaseMs)
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -55,6 +55,8 @@
 		r.supervisor.setIncarnation(now, report.Incarnation)
 		r.supervisor.lastSeenEnd = 0
 		r.supervisor.inContact = false
+	} else {
+		r.supervisor.setReportedClock(now, report.ClockMs)
 	}
 	r.machine.SetWorker(now, occupancy.Worker{ID: report.ID, Incarnation: report.Incarnation, Capacity: report.Capacity})
 	if report.ID != old.ID || report.Incarnation != old.Incarnation || report.Draining != old.Draining {
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -39,6 +39,8 @@
 	// fencingTokenStep is added to the fencing token when the worker has seen a
 	// higher one, which an earlier process used while its clock was ahead.
 	fencingTokenStep = int64(10 * time.Minute / time.Millisecond)
+	// maxClockLoss is the share of the time that a worker's clock loses at most, as a divisor.
+	maxClockLoss = 50
 	// maxFencingDoublings bounds how often the step is doubled while the worker refuses
 	// status requests, so that few requests make up for a clock that was years ahead.
 	maxFencingDoublings = 20
@@ -63,9 +65,10 @@
 
 	// lastSeenEnd is the number of the newest ended run that a status has listed.
 	lastSeenEnd uint64
-	// clockOffset is the worker's clock minus the clock of this machine. It is
-	// known after the first reply.
+	// clockOffset is the worker's clock minus the clock of this machine, or less, at
+	// clockReadAt. It is known after the first reply.
 	clockOffset      time.Duration
+	clockReadAt      time.Duration
 	clockOffsetKnown bool
 	// inContact is true while the worker replies to status requests. Only then are
 	// leases extended.
@@ -123,13 +126,27 @@
 		end = max(min(end, limit), now)
 	}
 	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
-	return (end + s.clockOffset).Milliseconds()
+	return (end + s.leastClockOffset(now)).Milliseconds()
+}
+
+// leastClockOffset returns the least clock offset that the worker's clock may have reached
+// since it was read; mu is held. A lease that is computed with a higher one would end too late.
+func (s *supervisor) leastClockOffset(now time.Duration) time.Duration {
+	return s.clockOffset - max(now-s.clockReadAt, 0)/maxClockLoss
 }
 
 // setClockOffset computes the clock offset from the worker's clock in a reply. Zero
 // is a valid clock: the first millisecond of an incarnation.
 func (s *supervisor) setClockOffset(now time.Duration, clockMs int64) {
-	s.clockOffset, s.clockOffsetKnown = time.Duration(clockMs)*time.Millisecond-now, true
+	s.clockOffset, s.clockReadAt, s.clockOffsetKnown = time.Duration(clockMs)*time.Millisecond-now, now, true
+}
+
+// setReportedClock takes over the worker's clock in a report, zero if it is unknown; mu is
+// held. A report may have been delayed, so that its clock counts only if it is ahead.
+func (s *supervisor) setReportedClock(now time.Duration, clockMs int64) {
+	if s.clockOffsetKnown && clockMs > 0 && time.Duration(clockMs)*time.Millisecond-now > s.leastClockOffset(now) {
+		s.setClockOffset(now, clockMs)
+	}
 }
 
 // startRun sends the start call of a run in a new goroutine; mu is held.
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -20,8 +20,10 @@
 	// and Sequence the number of the report within the incarnation.
 	Incarnation int64
 	Sequence    uint64
-	Capacity    work.Resources
-	Draining    bool
+	// ClockMs is the worker's clock in milliseconds when it sent the report, zero if unknown.
+	ClockMs  int64
+	Capacity work.Resources
+	Draining bool
 }
 
 // WorkerClient calls the worker at one address. It is safe for concurrent use.
