--- a/internal/decision/ownership/model_guards_test.go
+++ b/internal/decision/ownership/model_guards_test.go
@@ -16,13 +16,14 @@
 	// restart: a run that the next worker process may have is stopped there.
 	// leaseExpiry: runs at a worker out of contact end when their leases have expired.
 	// responsive: a sidecar whose batch was abandoned is used again.
-	unanswered, fencing, restart, leaseExpiry, responsive bool
 	// superseded: an owner gives up a job of which it hears that another one has a later
 	// submission.
-	superseded bool
+	// lifeToken: calls to an earlier life of the worker have no effect at the next one.
+	// needsLease: leases are extended only while a run is to go on.
+	unanswered, fencing, restart, leaseExpiry, responsive, superseded, lifeToken, needsLease bool
 }
 
 var allGuards = guards{
 	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
-	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true, lifeToken: true, needsLease: true,
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -52,8 +52,11 @@
 		r.startSupervisor(report.Address)
 	}
 	if report.ID != old.ID || report.Incarnation != old.Incarnation {
+		r.supervisor.setIncarnation(now, report.Incarnation)
 		r.supervisor.lastSeenEnd = 0
 		r.supervisor.inContact = false
+	} else {
+		r.supervisor.setReportedClock(now, report.ClockMs)
 	}
 	r.machine.SetWorker(now, occupancy.Worker{ID: report.ID, Incarnation: report.Incarnation, Capacity: report.Capacity})
 	if report.ID != old.ID || report.Incarnation != old.Incarnation || report.Draining != old.Draining {
@@ -99,6 +102,7 @@
 		return
 	}
 	r.statusIncarnation = incarnation
+	r.supervisor.setIncarnation(now, incarnation)
 	if incarnation == r.report.Incarnation {
 		return
 	}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -39,6 +39,8 @@
 	// fencingTokenStep is added to the fencing token when the worker has seen a
 	// higher one, which an earlier process used while its clock was ahead.
 	fencingTokenStep = int64(10 * time.Minute / time.Millisecond)
+	// maxClockLoss is the share of the time that a worker's clock loses at most, as a divisor.
+	maxClockLoss = 50
 	// maxFencingDoublings bounds how often the step is doubled while the worker refuses
 	// status requests, so that few requests make up for a clock that was years ahead.
 	maxFencingDoublings = 20
@@ -50,6 +52,10 @@
 	runner       *Runner
 	client       WorkerClient
 	fencingToken int64
+	// tokenRaisedAt is the time at which the token was raised for a new worker process, and
+	// incarnation the process for which it was set, zero if that one is unknown.
+	tokenRaisedAt time.Duration
+	incarnation   int64
 	// fencedStatuses is the number of status requests in a row that the worker has
 	// refused because of the fencing token.
 	fencedStatuses int
@@ -59,9 +65,10 @@
 
 	// lastSeenEnd is the number of the newest ended run that a status has listed.
 	lastSeenEnd uint64
-	// clockOffset is the worker's clock minus the clock of this machine. It is
-	// known after the first reply.
+	// clockOffset is the worker's clock minus the clock of this machine, or less, at
+	// clockReadAt. It is known after the first reply.
 	clockOffset      time.Duration
+	clockReadAt      time.Duration
 	clockOffsetKnown bool
 	// inContact is true while the worker replies to status requests. Only then are
 	// leases extended.
@@ -85,7 +92,7 @@
 	fencingToken := time.Now().UnixMilli()
 	if r.supervisor != nil {
 		r.supervisor.close()
-		fencingToken = max(fencingToken, r.supervisor.fencingToken)
+		fencingToken = max(fencingToken, r.supervisor.fencingToken+1)
 	}
 	s := &supervisor{runner: r, client: r.dialWorker(address), fencingToken: fencingToken, wakeCh: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(r.ctx)
@@ -99,6 +106,18 @@
 	s.client.Close()
 }
 
+// setIncarnation records which worker process runs, and raises the fencing token if it is
+// another one than before. A call that an earlier process has left unanswered may be carried
+// out seconds later, by the process that runs then; it has no effect there once that process
+// has seen the raised token.
+func (s *supervisor) setIncarnation(now time.Duration, incarnation int64) {
+	if s.incarnation != 0 && s.incarnation != incarnation {
+		s.fencingToken++
+		s.tokenRaisedAt = now
+	}
+	s.incarnation = incarnation
+}
+
 // recordLeaseRequest records that leases starting now are requested, and returns
 // their end in milliseconds of the worker's clock; mu is held.
 func (s *supervisor) recordLeaseRequest(now time.Duration) int64 {
@@ -107,13 +126,27 @@
 		end = max(min(end, limit), now)
 	}
 	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
-	return (end + s.clockOffset).Milliseconds()
+	return (end + s.leastClockOffset(now)).Milliseconds()
+}
+
+// leastClockOffset returns the least clock offset that the worker's clock may have reached
+// since it was read; mu is held. A lease that is computed with a higher one would end too late.
+func (s *supervisor) leastClockOffset(now time.Duration) time.Duration {
+	return s.clockOffset - max(now-s.clockReadAt, 0)/maxClockLoss
 }
 
 // setClockOffset computes the clock offset from the worker's clock in a reply. Zero
 // is a valid clock: the first millisecond of an incarnation.
 func (s *supervisor) setClockOffset(now time.Duration, clockMs int64) {
-	s.clockOffset, s.clockOffsetKnown = time.Duration(clockMs)*time.Millisecond-now, true
+	s.clockOffset, s.clockReadAt, s.clockOffsetKnown = time.Duration(clockMs)*time.Millisecond-now, now, true
+}
+
+// setReportedClock takes over the worker's clock in a report, zero if it is unknown; mu is
+// held. A report may have been delayed, so that its clock counts only if it is ahead.
+func (s *supervisor) setReportedClock(now time.Duration, clockMs int64) {
+	if s.clockOffsetKnown && clockMs > 0 && time.Duration(clockMs)*time.Millisecond-now > s.leastClockOffset(now) {
+		s.setClockOffset(now, clockMs)
+	}
 }
 
 // startRun sends the start call of a run in a new goroutine; mu is held.
@@ -123,20 +156,23 @@
 		ctx, cancel := context.WithTimeout(s.ctx, startStopTimeout)
 		defer cancel()
 		reply := s.client.StartRun(ctx, req)
-		s.handleStartReply(start.Run, reply)
+		s.handleStartReply(req, reply)
 	}()
 }
 
 // handleStartReply handles the result of a start call.
-func (s *supervisor) handleStartReply(run work.RunID, reply StartReply) {
-	r := s.runner
+func (s *supervisor) handleStartReply(req StartRequest, reply StartReply) {
+	r, run := s.runner, req.Run
 	now := r.lockAndDropSilentOwners()
 	defer r.runMachineAndUnlock(now)
-	if reply.ClockMs > 0 { // replies to start calls may lack the clock
-		s.setClockOffset(now, reply.ClockMs)
-	}
-	if reply.Fenced {
-		s.fencingToken += fencingTokenStep
+	// A call with an earlier token may have been answered by an earlier worker process.
+	if req.FencingToken == s.fencingToken {
+		if reply.ClockMs > 0 { // replies to start calls may lack the clock
+			s.setClockOffset(now, reply.ClockMs)
+		}
+		if reply.Fenced {
+			s.fencingToken += fencingTokenStep
+		}
 	}
 	// A replaced supervisor's call also has to end: the machine waits for each answer.
 	if reply.Result == occupancy.Unanswered {
@@ -220,14 +256,16 @@
 	req := StatusRequest{FencingToken: s.fencingToken, LastSeenEnd: s.lastSeenEnd}
 	s.unackedEnds = false
 	if s.inContact && s.clockOffsetKnown && r.machine.NumActive() > 0 {
-		req.LeaseEndMs = s.recordLeaseRequest(now)
 		req.Wait = statusWait
+		if r.machine.NeedsLease() {
+			req.LeaseEndMs = s.recordLeaseRequest(now)
+		}
 	}
 	return req, now
 }
 
 // handleStatus handles a status. It reports whether polling can pause: no run is
-// active and all ended runs are acknowledged.
+// active, all ended runs are acknowledged, and the worker has seen the fencing token.
 func (s *supervisor) handleStatus(requestedAt time.Duration, reply StatusReply) bool {
 	r := s.runner
 	now := r.lockAndDropSilentOwners()
@@ -235,9 +273,12 @@
 	if r.supervisor != s {
 		return false
 	}
+	sentToken := requestedAt >= s.tokenRaisedAt // the request carried the present token
 	if reply.Fenced {
-		s.fencingToken += fencingTokenStep << min(s.fencedStatuses, maxFencingDoublings)
-		s.fencedStatuses++
+		if sentToken {
+			s.fencingToken += fencingTokenStep << min(s.fencedStatuses, maxFencingDoublings)
+			s.fencedStatuses++
+		}
 		return false
 	}
 	s.fencedStatuses = 0
@@ -254,7 +295,7 @@
 	}
 	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: requestedAt, Running: reply.Running, Ended: reply.Ended})
 	r.updateAvailability(now)
-	return !s.unackedEnds && r.machine.NumActive() == 0
+	return !s.unackedEnds && r.machine.NumActive() == 0 && requestedAt >= s.tokenRaisedAt
 }
 
 // waitForRuns waits until runs may be active again.
@@ -282,6 +323,7 @@
 	event.LogRateLimited(event.OrderUnanswered, "order", "look", "worker", r.report.ID, "failures", failures, "err", err)
 	if refusals >= minRefusals {
 		s.inContact = false
+		s.setIncarnation(now, 0)
 		r.machine.WorkerExited(now, requestedAt)
 	}
 	if now-s.lastStatusAt > workerTimeout {
