occupancy: a full list of ended runs proves no absence

Callers would wait for a second run of a task that is done: when more than 500 runs have ended since the last acknowledged status, a run whose end did not fit counts as not listed. A stopped run is reported as lost at once, another one is stopped, and reported as lost if its end does not fit into the next status either; the task is started again. A new sidecar process could also take an end of its predecessor's, listed later, for that of a run with the same ID.

Cause: the worker lists 500 ended runs at a time and the rest after these have been acknowledged. The sidecar took each list for a complete one.

Evidence: TestEndInNextStatus and TestNoStartsBeforeAllEnds fail while the new field is ignored. Found by reading; on the present sites a worker has far fewer runs at a time.

Change: a reply with 500 ends or more says that more may follow. Such a status ends and confirms runs, but proves no absence, and the worker accepts no runs by it.

This does not make two runs at the same time, since the list of running runs is complete.

--- a/internal/decision/occupancy/occupancy_test.go
+++ b/internal/decision/occupancy/occupancy_test.go
@@ -194,3 +194,41 @@
 		t.Errorf("slowness %.2f after 10 s without a run", got)
 	}
 }
+
+// Guards against a run that is stopped and reported as lost, and so started again, although it
+// is done and only its end did not fit into a status.
+func TestEndInNextStatus(t *testing.T) {
+	m := newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("running", 1, 0), request("stopped", 1, 0)})
+	starts := takeStarts(m)
+	for _, run := range starts {
+		m.StartAnswered(ms, run, Accepted, "")
+	}
+	m.Stop(2*ms, owner, starts[1])
+	m.StopConfirmed(3*ms, starts[1])
+	m.ApplyStatus(5*ms, WorkerStatus{RequestedAt: 4 * ms, MoreEnds: true})
+	if ends := reportedEnds(m); len(ends) > 0 {
+		t.Errorf("ends %v from a status that does not list all ends", ends)
+	}
+	m.StopConfirmed(6*ms, starts[0])
+	m.ApplyStatus(8*ms, WorkerStatus{RequestedAt: 7 * ms, MoreEnds: true})
+	m.ApplyStatus(10*ms, WorkerStatus{RequestedAt: 9 * ms, Ended: []EndedRun{{Run: starts[0], Outcome: work.Done}, {Run: starts[1], Outcome: work.Done}}})
+	ends := reportedEnds(m)
+	if len(ends) != 2 || ends[0].Outcome != work.Done || ends[1].Outcome != work.Done {
+		t.Errorf("ends %v, want two that are done", ends)
+	}
+}
+
+// Guards against runs that a new sidecar process accepts while old ends are still to come, which
+// may have the ID of a new run.
+func TestNoStartsBeforeAllEnds(t *testing.T) {
+	m := New(Config{})
+	m.SetWorker(0, Worker{ID: "w", Incarnation: 1, Capacity: work.Resources{MilliCPU: 4}})
+	m.SetWorkerAvailable(0, true)
+	if m.ApplyStatus(2*ms, WorkerStatus{RequestedAt: ms, MoreEnds: true}); m.AcceptsRuns() {
+		t.Error("runs are accepted before all ends are known")
+	}
+	if m.ApplyStatus(4*ms, WorkerStatus{RequestedAt: 3 * ms}); !m.AcceptsRuns() {
+		t.Error("no runs are accepted after all ends are known")
+	}
+}
--- a/internal/decision/occupancy/status.go
+++ b/internal/decision/occupancy/status.go
@@ -28,6 +28,9 @@
 	RequestedAt time.Duration
 	Running     []Progress
 	Ended       []EndedRun
+	// MoreEnds is true if more runs may have ended than Ended holds. The next status lists
+	// them.
+	MoreEnds bool
 }
 
 // ApplyStatus updates the runs from a status of the worker. If the worker lists a
@@ -45,8 +48,10 @@
 	for _, p := range s.Running {
 		m.applyRunning(now, p)
 	}
-	m.applyAbsences(now, s.RequestedAt, listed)
-	m.statusKnown = true
+	if !s.MoreEnds { // a run that is not listed may be among the ends that follow
+		m.applyAbsences(now, s.RequestedAt, listed)
+		m.statusKnown = true
+	}
 	m.startOrReturnQueued(now)
 }
 
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -293,7 +293,7 @@
 			s.unackedEnds = true
 		}
 	}
-	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: requestedAt, Running: reply.Running, Ended: reply.Ended})
+	r.machine.ApplyStatus(now, occupancy.WorkerStatus{RequestedAt: requestedAt, Running: reply.Running, Ended: reply.Ended, MoreEnds: reply.MoreEnds})
 	r.updateAvailability(now)
 	return !s.unackedEnds && r.machine.NumActive() == 0 && requestedAt >= s.tokenRaisedAt
 }
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -86,6 +86,8 @@
 	ClockMs     int64
 	Running     []occupancy.Progress
 	Ended       []occupancy.EndedRun
+	// MoreEnds is true if the worker may hold ends that did not fit into the reply.
+	MoreEnds bool
 	// NewestEnd is the number of the newest run in Ended, zero if Ended is empty.
 	NewestEnd uint64
 }
