runner: recognize the worker's process after clocks were set back

Callers would see two runs of a task at the same time after the time of day was set back twice: a late report of a worker process that has exited counts as that of a new one, the running runs as lost, and their tasks are started elsewhere while they go on. A worker with an earlier start time at a new address was never used again.

Cause: the processes of a worker are ordered by the times of their births. The sidecar remembered only the newest exited process that had a later one, and it asked only the known address which process runs.

Evidence: TestLateReportAfterTwoSetBacks and TestEarlierStartTimeAtNewAddress fail before the change.

Change: the last 16 exited processes are remembered, and a report of one of them counts only if a status shows that it runs. A report from another address counts if the known address refuses connections. If it was late all the same, its own address refuses connections, so that the next report from the right one counts; no runs are at work while the address refuses connections.

What remains: a late report of a process that the sidecar has never heard.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -199,3 +199,60 @@
 		t.Errorf("token %d after an earlier token was refused, want %d", s.fencingToken, token)
 	}
 }
+
+// Guards against runs reported as lost while the worker executes them, because a late report of
+// an exited incarnation is taken for news after the time of day was set back twice.
+func TestLateReportAfterTwoSetBacks(t *testing.T) {
+	r := newSilentRunner(t)
+	for _, incarnation := range []int64{100, 50, 30} {
+		if r.supervisor != nil {
+			r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: incarnation, ClockMs: 3})
+		}
+		r.HandleReport(report(incarnation, 1))
+		r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: incarnation, ClockMs: 4})
+	}
+	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	submitRun(r, run)
+	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 30, ClockMs: 5, Running: []occupancy.Progress{{Run: run}}})
+	for _, exited := range []int64{100, 50} {
+		r.HandleReport(report(exited, 9))
+		if r.report.Incarnation != 30 || r.machine.NumActive() != 1 {
+			t.Errorf("a late report of incarnation %d is taken for news: %d runs are active", exited, r.machine.NumActive())
+		}
+	}
+	r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: 50, ClockMs: 6})
+	if r.HandleReport(report(50, 10)); r.report.Incarnation != 50 {
+		t.Error("a report of the running incarnation is ignored")
+	}
+}
+
+// Guards against a worker that is never used again because the time of day was set back before
+// it restarted at another address, where no status request reaches it.
+func TestEarlierStartTimeAtNewAddress(t *testing.T) {
+	r := newSilentRunner(t)
+	r.HandleReport(report(100, 9))
+	next := report(50, 1)
+	next.Address = "127.0.0.1:2"
+	if r.HandleReport(next); r.report.Incarnation != 100 {
+		t.Error("a report of an earlier incarnation is taken for news while its successor may be running")
+	}
+	r.supervisor.handleStatusFailure(clock.SinceBoot(), syscall.ECONNREFUSED, 2, 2)
+	next.Sequence++
+	if r.HandleReport(next); r.report.Incarnation != 50 {
+		t.Fatal("the report is ignored after the known incarnation has exited")
+	}
+	r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: 50, ClockMs: 4})
+	if !r.machine.AcceptsRuns() {
+		t.Error("the worker accepts no runs after it has restarted at another address")
+	}
+	if r.HandleReport(report(100, 10)); r.report.Incarnation != 50 {
+		t.Error("a late report of the incarnation that has exited is taken for news")
+	}
+	r.supervisor.handleStatusFailure(clock.SinceBoot(), syscall.ECONNREFUSED, 2, 2)
+	r.HandleReport(report(100, 10)) // late, but nothing shows it while no worker accepts connections
+	r.supervisor.handleStatusFailure(clock.SinceBoot(), syscall.ECONNREFUSED, 2, 2)
+	next.Sequence++
+	if r.HandleReport(next); r.report.Incarnation != 50 {
+		t.Error("a worker is not used again after a late report from another address")
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
@@ -20,9 +21,8 @@
 	r.startSupervisor(address)
 }
 
-// HandleReport handles a worker's report about itself. It ignores reports of earlier
-// incarnations, unless a status requested since the newest report came from that
-// incarnation, and reports that arrive after a newer one. When HandleReport returns for a
+// HandleReport handles a worker's report about itself. It ignores late reports of other
+// incarnations and reports that arrive after a newer one. When HandleReport returns for a
 // report with Draining set, the sidecar issues no further start calls. Calls that it has
 // issued before may still reach the worker.
 func (r *Runner) HandleReport(report Report) {
@@ -30,10 +30,7 @@
 	defer r.runMachineAndUnlock(now)
 	old := r.report
 	switch {
-	case report.Incarnation == r.exitedIncarnation && report.Incarnation != 0:
-		event.LogRateLimited(event.ReportIgnored, "worker", report.ID, "born", report.Incarnation, "bornNewest", old.Incarnation)
-		return
-	case report.Incarnation < old.Incarnation && !r.isRunning(report.Incarnation):
+	case report.Incarnation != old.Incarnation && !r.isNews(report):
 		event.LogRateLimited(event.ReportIgnored, "worker", report.ID, "born", report.Incarnation, "bornNewest", old.Incarnation)
 		if r.supervisor != nil {
 			r.supervisor.wake() // without active runs, it sends no status requests
@@ -42,8 +39,9 @@
 	case report.ID == old.ID && report.Incarnation == old.Incarnation && report.Sequence <= old.Sequence:
 		return
 	}
-	if report.Incarnation < old.Incarnation {
-		r.exitedIncarnation = old.Incarnation
+	if report.Incarnation != old.Incarnation && old.Incarnation != 0 {
+		r.exitedIncarnations = append(r.exitedIncarnations, old.Incarnation)
+		r.exitedIncarnations = r.exitedIncarnations[max(0, len(r.exitedIncarnations)-maxExitedIncarnations):]
 	}
 	r.reportedAt = now
 	r.report = report
@@ -72,6 +70,24 @@
 	}
 }
 
+// maxExitedIncarnations bounds the number of exited incarnations of which late reports are
+// recognized although the time of day was set back since then.
+const maxExitedIncarnations = 16
+
+// isNews reports whether a report of another incarnation than the known one is not late; mu
+// is held. An incarnation with an earlier start time, or one that another has followed, has to
+// be running. A status can't show that for another address than the known one; refused
+// connections show instead that the known incarnation has exited.
+func (r *Runner) isNews(report Report) bool {
+	switch {
+	case r.isRunning(report.Incarnation):
+		return true
+	case report.Address != r.report.Address && r.supervisor != nil && r.supervisor.exited:
+		return true
+	}
+	return report.Incarnation > r.report.Incarnation && !slices.Contains(r.exitedIncarnations, report.Incarnation)
+}
+
 // isRunning reports whether a status that was requested after the newest report came from
 // an incarnation of the worker; mu is held. The start time of an incarnation is earlier than
 // that of its predecessor if the time of day was set back.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -86,10 +86,9 @@
 	// statusRequestedAt is the time at which the newest status was requested.
 	statusIncarnation int64
 	statusRequestedAt time.Duration
-	// exitedIncarnation is the newest worker incarnation that was followed by one with an
-	// earlier start time, zero if there was none.
-	exitedIncarnation int64
-	owners            map[ident.Process]*owner
+	// exitedIncarnations are the newest of the worker incarnations that others have followed.
+	exitedIncarnations []int64
+	owners             map[ident.Process]*owner
 	// seeds are the addresses that AddEntry has added, and entries the clients of the
 	// entry instances to which this sidecar attaches, by address.
 	seeds       map[string]bool
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -73,6 +73,8 @@
 	// inContact is true while the worker replies to status requests. Only then are
 	// leases extended.
 	inContact bool
+	// exited is true while the worker's address refuses connections.
+	exited bool
 	// lastStatusAt is the time of the last status or of the last end of
 	// waitForRuns, whichever is later.
 	lastStatusAt time.Duration
@@ -273,6 +275,7 @@
 	if r.supervisor != s {
 		return false
 	}
+	s.exited = false
 	sentToken := requestedAt >= s.tokenRaisedAt // the request carried the present token
 	if reply.Fenced {
 		if sentToken {
@@ -322,7 +325,7 @@
 	}
 	event.LogRateLimited(event.OrderUnanswered, "order", "look", "worker", r.report.ID, "failures", failures, "err", err)
 	if refusals >= minRefusals {
-		s.inContact = false
+		s.inContact, s.exited = false, true
 		s.setIncarnation(now, 0)
 		r.machine.WorkerExited(now, requestedAt)
 	}
