--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
@@ -70,31 +69,6 @@
 	}
 }
 
-// maxExitedIncarnations bounds the number of exited incarnations of which late reports are
-// recognized although the time of day was set back since then.
-const maxExitedIncarnations = 16
-
-// isNews reports whether a report of another incarnation than the known one is not late; mu
-// is held. An incarnation with an earlier start time, or one that another has followed, has to
-// be running. A status can't show that for another address than the known one; refused
-// connections show instead that the known incarnation has exited.
-func (r *Runner) isNews(report Report) bool {
-	switch {
-	case r.isRunning(report.Incarnation):
-		return true
-	case report.Address != r.report.Address && r.supervisor != nil && r.supervisor.exited:
-		return true
-	}
-	return report.Incarnation > r.report.Incarnation && !slices.Contains(r.exitedIncarnations, report.Incarnation)
-}
-
-// isRunning reports whether a status that was requested after the newest report came from
-// an incarnation of the worker; mu is held. The start time of an incarnation is earlier than
-// that of its predecessor if the time of day was set back.
-func (r *Runner) isRunning(incarnation int64) bool {
-	return incarnation == r.statusIncarnation && r.statusRequestedAt > r.reportedAt
-}
-
 // HandleDeregistration handles the message of a worker incarnation that it is about to exit.
 // An incarnation of zero is unknown.
 func (r *Runner) HandleDeregistration(id string, incarnation int64) {
@@ -109,24 +83,6 @@
 	r.updateAvailability(now)
 }
 
-// setStatusIncarnation records the worker incarnation that has sent a status, requested at
-// requestedAt; mu is held. An incarnation that has not reported yet may have another
-// capacity, so it gets no runs before its report.
-func (r *Runner) setStatusIncarnation(now, requestedAt time.Duration, incarnation int64) {
-	r.statusRequestedAt = requestedAt
-	if incarnation == 0 || incarnation == r.statusIncarnation {
-		return
-	}
-	r.statusIncarnation = incarnation
-	r.supervisor.setIncarnation(now, incarnation)
-	if incarnation == r.report.Incarnation {
-		return
-	}
-	event.LogRateLimited(event.WorkerChanged, "worker", r.report.ID, "born", incarnation, "bornBefore", r.report.Incarnation, "reported", false)
-	r.supervisor.lastSeenEnd = 0
-	r.machine.SetWorker(now, occupancy.Worker{Incarnation: incarnation})
-}
-
 // updateAvailability tells the machine whether the worker can accept new runs; mu is
 // held.
 func (r *Runner) updateAvailability(now time.Duration) {
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -30,17 +30,9 @@
 	// runs and its leases are not extended. It covers several requests, because a
 	// healthy worker also leaves single requests unanswered.
 	workerTimeout = 500 * time.Millisecond
-	// leaseMargin is the difference between Config.MaxLease and the requested lease.
-	leaseMargin = 50 * time.Millisecond
-	// leaseExpiryMargin is the additional time after which a lease has certainly
-	// expired: a worker's clock may be 2% slow, and a request takes time to reach
-	// the worker.
-	leaseExpiryMargin = 70 * time.Millisecond
 	// fencingTokenStep is added to the fencing token when the worker has seen a
 	// higher one, which an earlier process used while its clock was ahead.
 	fencingTokenStep = int64(10 * time.Minute / time.Millisecond)
-	// maxClockLoss is the share of the time that a worker's clock loses at most, as a divisor.
-	maxClockLoss = 50
 	// maxFencingDoublings bounds how often the step is doubled while the worker refuses
 	// status requests, so that few requests make up for a clock that was years ahead.
 	maxFencingDoublings = 20
@@ -108,49 +100,6 @@
 	s.client.Close()
 }
 
-// setIncarnation records which worker process runs, and raises the fencing token if it is
-// another one than before. A call that an earlier process has left unanswered may be carried
-// out seconds later, by the process that runs then; it has no effect there once that process
-// has seen the raised token.
-func (s *supervisor) setIncarnation(now time.Duration, incarnation int64) {
-	if s.incarnation != 0 && s.incarnation != incarnation {
-		s.fencingToken++
-		s.tokenRaisedAt = now
-	}
-	s.incarnation = incarnation
-}
-
-// recordLeaseRequest records that leases starting now are requested, and returns
-// their end in milliseconds of the worker's clock; mu is held.
-func (s *supervisor) recordLeaseRequest(now time.Duration) int64 {
-	end := now + s.runner.cfg.MaxLease - leaseMargin
-	if limit, limited := s.runner.leaseLimit(); limited {
-		end = max(min(end, limit), now)
-	}
-	s.leasesExpireAt = max(s.leasesExpireAt, end+leaseExpiryMargin)
-	return (end + s.leastClockOffset(now)).Milliseconds()
-}
-
-// leastClockOffset returns the least clock offset that the worker's clock may have reached
-// since it was read; mu is held. A lease that is computed with a higher one would end too late.
-func (s *supervisor) leastClockOffset(now time.Duration) time.Duration {
-	return s.clockOffset - max(now-s.clockReadAt, 0)/maxClockLoss
-}
-
-// setClockOffset computes the clock offset from the worker's clock in a reply. Zero
-// is a valid clock: the first millisecond of an incarnation.
-func (s *supervisor) setClockOffset(now time.Duration, clockMs int64) {
-	s.clockOffset, s.clockReadAt, s.clockOffsetKnown = time.Duration(clockMs)*time.Millisecond-now, now, true
-}
-
-// setReportedClock takes over the worker's clock in a report, zero if it is unknown; mu is
-// held. A report may have been delayed, so that its clock counts only if it is ahead.
-func (s *supervisor) setReportedClock(now time.Duration, clockMs int64) {
-	if s.clockOffsetKnown && clockMs > 0 && time.Duration(clockMs)*time.Millisecond-now > s.leastClockOffset(now) {
-		s.setClockOffset(now, clockMs)
-	}
-}
-
 // startRun sends the start call of a run in a new goroutine; mu is held.
 func (s *supervisor) startRun(start occupancy.StartRun) {
 	req := StartRequest{WorkerID: s.runner.report.ID, Run: start.Run, Payload: start.Payload, FencingToken: s.fencingToken, LeaseEndMs: s.recordLeaseRequest(clock.SinceBoot())}
