broker: a caller that has left ends only its own submission

What callers would see: 504 for a job that was just admitted and could have been served.

Cause: the goroutine of a submission whose caller has left ended whatever job had the ID when the goroutine got its turn. If it was delayed and its own submission was answered meanwhile, that was a later submission of the same job.

Change: it ends the job only while its own submission awaits an answer.

--- a/internal/broker/submit.go
+++ b/internal/broker/submit.go
@@ -43,12 +43,22 @@
 		return a
 	case <-caller.Left():
 	}
+	b.callerLeft(job.ID, answers)
+	return <-answers
+}
+
+// callerLeft abandons the submission of a job that delivers its answer to answers, because its
+// caller has left. If that submission has been answered meanwhile, the job may have been
+// submitted again.
+func (b *Broker) callerLeft(jobID string, answers chan work.Answer) {
 	b.mu.Lock()
-	now = clock.SinceBoot()
-	b.machine.CallerLeft(now, job.ID)
+	defer b.mu.Unlock()
+	if b.answerChans[jobID] != answers {
+		return
+	}
+	now := clock.SinceBoot()
+	b.machine.CallerLeft(now, jobID)
 	b.runMachine(now)
-	b.mu.Unlock()
-	return <-answers
 }
 
 // recordRefusal logs and counts a refused job.
