placement, occupancy: no refusal after a run of an earlier submission

What callers would see: 429 or 503, which say that the job was not accepted and never runs, for a job that is running or has run for an earlier submission at another entry instance.

Cause: a run that a sidecar rejected because the first owner had one of the task was reported as not run, and one that the worker rejected as outdated counted so, too. If no other worker had room then, the job was refused.

Change: the sidecar rejects such a run as outdated, and after an outdated run the job counts as one that may have run: its answer is 504 unless it is completed or has failed.

Evidence: TestRefusalAfterEarlierSubmission gets a refusal ("overload") before the change.

--- a/internal/decision/occupancy/owners.go
+++ b/internal/decision/occupancy/owners.go
@@ -64,7 +64,7 @@
 	m.supersedeOthers(now, owner, q.Run.Task)
 	m.runsOfOwner[owner]++
 	m.rejectSecondOwner(rejection{jobAgeMs: q.JobAgeMs, jobSubmittedAt: submittedAt, ReportEnd: ReportEnd{Owner: owner, End: wire.RunEnd{
-		Run: q.Run, Outcome: work.NotRun, Reason: "another owner's run of the task is being stopped"}}})
+		Run: q.Run, Outcome: work.Outdated, Reason: "another owner's run of the task is being stopped"}}})
 	return true
 }
 
--- a/internal/decision/placement/contact_test.go
+++ b/internal/decision/placement/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
@@ -113,3 +114,21 @@
 		}
 	}
 }
+
+// TestRefusalAfterEarlierSubmission guards against a caller that is told that its job has not
+// run although a worker has had a run of it, of an earlier submission at another entry instance.
+func TestRefusalAfterEarlierSubmission(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit(newJobSpec("a", 1, 60*ms))
+	run := h.takeRuns()[process(0)][0]
+	h.m.BatchRejected(h.now, Batch{Sidecar: process(0)}) // the worker takes no further runs
+	h.endRun(process(0), run, work.Outdated)
+	for len(h.answers) == 0 && h.now < 3*time.Second {
+		h.now += 20 * ms
+		h.m.Tick(h.now)
+		h.collect()
+	}
+	if a, ok := h.answers["a"]; !ok || a.State != work.Unfinished {
+		t.Errorf("answer %+v, %v, want unfinished", a, ok)
+	}
+}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -92,7 +92,7 @@
 	if e.Outcome != work.Done && e.Outcome != work.NoRoom {
 		j.stats.LastOutcome, j.stats.LastReason, j.stats.LastWorker = e.Outcome, e.Reason, w.info.Worker
 	}
-	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom && e.Outcome != work.Outdated {
+	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom { // after work.Outdated, an earlier submission may have run
 		j.mayHaveRun = true
 	}
 	if j.answered {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -163,7 +163,8 @@
 	// Stalled means that the run made no progress and was stopped.
 	Stalled
 	// Outdated means that the worker has a record of a run of the task with the
-	// same or a higher attempt, so that this run has not started.
+	// same or a higher attempt, or had one of an earlier submission of the job, so that
+	// this run has not started.
 	Outdated
 	// NoRoom means that the run was not to wait and the worker had too little free
 	// capacity. The run has not started and never will.
