placement, runner: an ended sidecar process that was never heard is not used

What callers would see: a task with two runs at a time.

Cause: of two processes of a sidecar of which an entry instance hears one for the first time, the one with the higher fencing token counted as the later. Tokens come from the time of day. If that was set back and the worker restarted, too, a delayed first heartbeat of a process that has ended had the higher one: the runs of its successor, in use already, counted as lost and their tasks were started again beside them.

Change: heartbeats name the entry incarnation of which the sender has received a reply. If an entry instance knows another process of the sidecar, it uses a process only after such a heartbeat. It records the order of the processes at their first heartbeats as before.

Why it works: a process that names the entry incarnation was alive after its first heartbeat had arrived. One that ended unheard can't name it, and one that was heard is known as the predecessor of the one in use.

Evidence: TestHeartbeatOfUnheardProcess starts attempt 2 beside attempt 1 before the change; TestConfirmedHeartbeat checks the messages.

Cost: an entry instance uses a restarted sidecar one heartbeat later (1 s at most, usually at once, when the sidecar opens its worker). Sidecars of earlier releases count as confirmed.

--- a/internal/broker/reply_test.go
+++ b/internal/broker/reply_test.go
@@ -55,7 +55,7 @@
 	load := wire.Load{Version: version, ClockMs: 1000, AppliedSequence: b.batch.Sequence, AcceptsRuns: true, Capacity: replyCapacity, Free: replyCapacity}
 	b.client.lastMessage = now
 	b.client.noteClock(now, &load)
-	b.machine.Heartbeat(now, wire.WorkerInfo{Sidecar: replyPeer, Worker: "w", Service: "svc"}, 1, load)
+	b.machine.Heartbeat(now, wire.WorkerInfo{Sidecar: replyPeer, Worker: "w", Service: "svc"}, 1, load, true)
 }
 
 // submit submits a job and reports whether it is admitted.
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -215,7 +215,7 @@
 	c := b.clientOf(req.Info.Sidecar)
 	c.lastMessage = now
 	c.noteClock(now, &req.Load)
-	if reason := b.machine.Heartbeat(now, req.Info, req.Session, req.Load); reason != "" {
+	if reason := b.machine.Heartbeat(now, req.Info, req.Session, req.Load, req.Confirmed(b.self.Process)); reason != "" {
 		event.LogRateLimited(event.HeartbeatIgnored, "sidecar", req.Info.Sidecar.Process.String(), "worker", req.Info.Worker, "reason", reason,
 			"session", req.Session, "fencingToken", req.Info.FencingToken)
 	}
--- a/internal/decision/ownership/model_entry_test.go
+++ b/internal/decision/ownership/model_entry_test.go
@@ -144,7 +144,7 @@
 	}
 }
 
-func (e *entryProcess) handleHeartbeat(info wire.WorkerInfo, session uint64, load wire.Load) {
+func (e *entryProcess) handleHeartbeat(info wire.WorkerInfo, session uint64, load wire.Load, confirmed bool) {
 	from := info.Sidecar.Process
 	c := e.clients[from]
 	if c == nil {
@@ -152,6 +152,6 @@
 		e.clients[from] = c
 	}
 	c.noteClock(e.world.now, load)
-	e.m.Heartbeat(e.world.now, info, session, load)
+	e.m.Heartbeat(e.world.now, info, session, load, confirmed)
 	e.step()
 }
--- a/internal/decision/ownership/model_sidecar_test.go
+++ b/internal/decision/ownership/model_sidecar_test.go
@@ -109,8 +109,8 @@
 	if o != nil {
 		session = o.Session()
 	}
-	sentAt, info, load := s.clock(), s.info(), s.load(o)
-	s.world.call(&s.process, &e.process, func() { e.handleHeartbeat(info, session, load) }, func(r callResult) {
+	sentAt, info, load, confirmed := s.clock(), s.info(), s.load(o), o != nil
+	s.world.call(&s.process, &e.process, func() { e.handleHeartbeat(info, session, load, confirmed) }, func(r callResult) {
 		s.dropSilentOwners()
 		defer s.step()
 		delay := 250 * ms
@@ -187,7 +187,7 @@
 		return
 	}
 	sentAt, session, info, load := s.clock(), o.Session(), s.info(), s.load(o)
-	s.world.call(&s.process, &o.entry.process, func() { o.entry.handleHeartbeat(info, session, load) }, func(r callResult) {
+	s.world.call(&s.process, &o.entry.process, func() { o.entry.handleHeartbeat(info, session, load, true) }, func(r callResult) {
 		s.dropSilentOwners()
 		defer s.step()
 		switch r {
--- a/internal/decision/placement/harness_test.go
+++ b/internal/decision/placement/harness_test.go
@@ -47,7 +47,7 @@
 		Version: h.version, AppliedSequence: 1 << 30, AcceptsRuns: true, Slowness: 1,
 		Capacity: work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}, Free: work.Resources{MilliCPU: free, MemoryMB: 1 << 16},
 		RemainingWork: (32000 - free) * 400,
-	})
+	}, true)
 	h.collect()
 }
 
--- a/internal/decision/placement/incarnation.go
+++ b/internal/decision/placement/incarnation.go
@@ -25,7 +25,8 @@
 // replaced reports whether a later incarnation of the sidecar is in use. A network
 // partition can deliver heartbeats of a process that has ended long before. Fencing tokens
 // order two processes of which none has replaced the other yet; they come from the time of
-// day, which may be set back. An incarnation replaces others only until its worker is
+// day, which may be set back. A process with another known one is used when it has answered to
+// a reply, so that one that has ended unheard is not. An incarnation replaces others only until its worker is
 // removed, so that a wrong order ends when the process that has ended is out of contact.
 func (m *Machine) replaced(info wire.WorkerInfo) bool {
 	process := info.Sidecar.Process
--- a/internal/decision/placement/incarnation_test.go
+++ b/internal/decision/placement/incarnation_test.go
@@ -8,13 +8,15 @@
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// heartbeatOf delivers a heartbeat of one process of sidecar 0.
+// heartbeatOf delivers a heartbeat of one process of sidecar 0. The process has received the
+// replies to its earlier heartbeats.
 func (h *harness) heartbeatOf(incarnation uint64, fencingToken int64, acceptsRuns bool) {
 	i := info(0)
 	i.Sidecar.Process.Incarnation, i.FencingToken = incarnation, fencingToken
 	h.version++
 	room := work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}
-	h.m.Heartbeat(h.now, i, 0, wire.Load{Version: h.version, AppliedSequence: 1 << 30, AcceptsRuns: acceptsRuns, Slowness: 1, Capacity: room, Free: room})
+	_, confirmed := h.m.incarnations[i.Sidecar.Process.Instance][incarnation]
+	h.m.Heartbeat(h.now, i, 0, wire.Load{Version: h.version, AppliedSequence: 1 << 30, AcceptsRuns: acceptsRuns, Slowness: 1, Capacity: room, Free: room}, confirmed)
 	h.collect()
 }
 
@@ -95,3 +97,37 @@
 		})
 	}
 }
+
+// Guards against runs that count as lost, and so start twice, when heartbeats of a process that
+// has ended unheard arrive after those of its successor, with a higher fencing token because the
+// time of day was set back.
+func TestHeartbeatOfUnheardProcess(t *testing.T) {
+	h := newHarness(t, 0)
+	h.heartbeatOf(2, 100, false)
+	h.heartbeatOf(2, 100, true)
+	if _, ok := h.submit(newJobSpec("job", 1, 100*ms)); !ok {
+		t.Fatal("the job was refused")
+	}
+	h.takeRuns()
+	for range 2 {
+		h.now += 50 * ms
+		unheard := info(0)
+		unheard.FencingToken = 200
+		h.version++
+		room := work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}
+		h.m.Heartbeat(h.now, unheard, 0, wire.Load{Version: h.version, AcceptsRuns: true, Slowness: 1, Capacity: room, Free: room}, false)
+		h.collect()
+	}
+	if runs := h.takeRuns(); len(runs) != 0 {
+		t.Errorf("started again: %v", runs)
+	}
+	h.heartbeatOf(2, 100, true)
+	if _, usable := h.m.Workers(); usable != 1 {
+		t.Errorf("%d usable workers, want the successor's", usable)
+	}
+	h.heartbeatOf(3, 300, true)
+	h.heartbeatOf(3, 300, true)
+	if runs := h.takeRuns(); len(runs[ident.Process{Instance: "side-0", Incarnation: 3}]) != 1 {
+		t.Errorf("runs %v, want the task at the next process", runs)
+	}
+}
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -253,7 +253,7 @@
 		h.now += 250 * ms
 		h.version++
 		capacity := work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}
-		h.m.Heartbeat(h.now, info(0), 0, wire.Load{Version: h.version, AcceptsRuns: true, Slowness: 1, Capacity: capacity, Free: capacity})
+		h.m.Heartbeat(h.now, info(0), 0, wire.Load{Version: h.version, AcceptsRuns: true, Slowness: 1, Capacity: capacity, Free: capacity}, true)
 		if a, ok := h.submit(newJobSpec("b", 10, 60*ms)); !ok {
 			t.Errorf("batch rejected %v: an idle worker is considered full: %+v", rejected, a)
 		}
@@ -321,7 +321,7 @@
 		t.Fatalf("%d runs sent", n)
 	}
 	for _, session := range []uint64{0, 1} {
-		h.m.Heartbeat(h.now, info(0), session, wire.Load{Version: 1, AcceptsRuns: true, Capacity: work.Resources{MilliCPU: 32000}, Free: work.Resources{MilliCPU: 32000}})
+		h.m.Heartbeat(h.now, info(0), session, wire.Load{Version: 1, AcceptsRuns: true, Capacity: work.Resources{MilliCPU: 32000}, Free: work.Resources{MilliCPU: 32000}}, true)
 		h.collect()
 		if n := len(h.takeRuns()); n > 0 {
 			t.Errorf("a delayed heartbeat of session %d caused %d runs", session, n)
--- a/internal/decision/placement/simulation/worker_test.go
+++ b/internal/decision/placement/simulation/worker_test.go
@@ -61,7 +61,7 @@
 		sendHeartbeat = func() {
 			load := w.loadSummary(e)
 			w.sim.afterNetworkDelay(func() {
-				e.m.Heartbeat(w.sim.now, info, 0, load)
+				e.m.Heartbeat(w.sim.now, info, 0, load, true)
 				e.step()
 			})
 			w.sim.scheduleAfter(w.sim.workload.HeartbeatInterval, sendHeartbeat)
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -55,9 +55,10 @@
 // the runs sent in earlier sessions is still running. Heartbeat ignores a heartbeat
 // older than one already recorded, because after a pause of this process it may
 // read delayed heartbeats in any order, and one of a process that a later one of the
-// same sidecar has replaced. It returns the reason if it ignored the heartbeat for its
+// same sidecar has replaced. confirmed is true if the sidecar was alive after an earlier
+// heartbeat of it had arrived. It returns the reason if it ignored the heartbeat for its
 // process or session.
-func (m *Machine) Heartbeat(now time.Duration, info wire.WorkerInfo, session uint64, load wire.Load) (ignored string) {
+func (m *Machine) Heartbeat(now time.Duration, info wire.WorkerInfo, session uint64, load wire.Load, confirmed bool) (ignored string) {
 	m.checkContacts(now)
 	m.lastMessage = now
 	id := info.Sidecar.Process
@@ -66,6 +67,9 @@
 	}
 	m.recordIncarnation(now, id)
 	w := m.workers[id]
+	if w == nil && !confirmed && len(m.incarnations[id.Instance]) > 1 {
+		return "the process may have ended before another one of the sidecar"
+	}
 	if w == nil {
 		w = &worker{session: session, tasks: map[work.RunID]*task{}}
 		m.workers[id] = w
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -139,9 +139,9 @@
 		r.runMachineAndUnlock(sentAt)
 		return false
 	}
-	req := wire.RunnerHeartbeat{Info: r.workerInfo(), Load: r.load(sentAt, o), Session: c.firstSession, MembersHash: c.membersHash}
+	req := wire.RunnerHeartbeat{Info: r.workerInfo(), Load: r.load(sentAt, o), Session: c.firstSession, MembersHash: c.membersHash, NoReply: o == nil}
 	if o != nil {
-		req.Session = o.Session()
+		req.Session, req.Receiver = o.Session(), o.process
 	}
 	detaching := c.unwanted && (o == nil || !o.busy())
 	r.updateGauges(&req.Load)
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -159,6 +159,16 @@
 	// MembersHash is the hash of the receiver's list of members that the sender
 	// holds.
 	MembersHash uint64 `msgpack:"h,omitempty"`
+	// Receiver is the entry incarnation from which the sender has received a reply, and
+	// NoReply is true if there is none yet. Senders of earlier releases set neither.
+	Receiver ident.Process `msgpack:"e,omitempty"`
+	NoReply  bool          `msgpack:"y,omitempty"`
+}
+
+// Confirmed reports whether the sender was alive after an earlier heartbeat of it had reached
+// the given entry incarnation. Senders of earlier releases don't tell.
+func (h *RunnerHeartbeat) Confirmed(receiver ident.Process) bool {
+	return h.Receiver == receiver || h.Receiver.IsZero() && !h.NoReply
 }
 
 // RunnerHeartbeatReply is the reply to a RunnerHeartbeat.
