broker, placement: an abandoned stop is sent again when the sidecar returns

What callers would see: a task with two runs at a time: a run goes on after its job was answered 504, beside that of the next submission.

Cause: a batch without a reply is abandoned when its sidecar has been silent for 0.9 s. The machine took the sidecar for out of contact only at its next check, up to 20 ms later. If a message came in between, the sidecar never was out of contact for it, so that the stops in the batch were not sent again as they are after a return.

Change: with the batch, the sidecar is recorded as out of contact (SidecarLost, which was SidecarEnded), also in the model.

Evidence: TestStopAbandonedAtTimeout gets no stop before the change.

--- /dev/null
+++ b/internal/broker/contact_test.go
@@ -0,0 +1,53 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// TestStopAbandonedAtTimeout guards against a run of an answered job that goes on because the
+// batch with its stop was abandoned just before the sidecar was heard again.
+func TestStopAbandonedAtTimeout(t *testing.T) {
+	f := newFixture(t, &fakeSidecar{})
+	f.sendHeartbeat(1)
+	b := f.broker
+	c := b.sidecars[f.peer.Process]
+	c.sending = true // keeps the batches in the queue
+	caller := fakeCaller{make(chan struct{})}
+	answers := make(chan work.Answer, 1)
+	go func() { answers <- b.Submit(testJob("a"), waitingCaller{caller}) }()
+	eventually(t, "the job is admitted", func() (admitted bool) {
+		b.withLock(func() { admitted = len(c.queue) == 1 })
+		return admitted
+	})
+	close(caller.left)
+	<-answers
+	const beforeContactCheck = time.Second // later than the timeout of the sidecar
+	b.withLock(func() {
+		if len(c.queue) != 2 || len(c.queue[1].Stops) != 1 {
+			t.Fatalf("queue %+v, want a start and a stop", c.queue)
+		}
+		stop := c.queue[1].Batch
+		c.queue = nil
+		if !c.handleFailure(clock.SinceBoot()+beforeContactCheck, stop, errors.New("no reply"), true) {
+			t.Fatal("the batch is not abandoned")
+		}
+	})
+	f.sendHeartbeat(1)
+	b.withLock(func() {
+		if len(c.queue) != 1 || len(c.queue[0].Stops) != 1 {
+			t.Errorf("queue %+v after the next heartbeat, want a stop", c.queue)
+		}
+	})
+}
+
+// waitingCaller is a caller that waits until left is closed.
+type waitingCaller struct{ fakeCaller }
+
+// HasLeft implements Caller.
+func (waitingCaller) HasLeft() bool { return false }
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -187,9 +187,7 @@
 	if !mayHaveArrived {
 		b.machine.BatchRejected(now, batch)
 	}
-	if exited {
-		b.machine.SidecarEnded(now, c.sidecar)
-	}
+	b.machine.SidecarLost(now, c.sidecar)
 	return true
 }
 
--- a/internal/decision/ownership/model_entry_test.go
+++ b/internal/decision/ownership/model_entry_test.go
@@ -132,9 +132,7 @@
 	if !c.mayHaveArrived {
 		e.m.BatchRejected(now, batch)
 	}
-	if result == refused {
-		e.m.SidecarEnded(now, id)
-	}
+	e.m.SidecarLost(now, id)
 	c.queue, c.mayHaveArrived = c.queue[1:], false
 }
 
--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -8,9 +8,11 @@
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// SidecarEnded records that a sidecar process has ended. The runs at its worker end
-// when their leases expire or the next process of that sidecar has stopped them.
-func (m *Machine) SidecarEnded(now time.Duration, sidecar ident.Process) {
+// SidecarLost records that a sidecar process has ended or is out of contact, so that a batch
+// to it has been abandoned. The runs at its worker end when their leases expire or the next
+// process of that sidecar has stopped them. If the sidecar is heard again, the runs of
+// answered jobs are stopped again.
+func (m *Machine) SidecarLost(now time.Duration, sidecar ident.Process) {
 	if w := m.workers[sidecar]; w != nil && !w.unreachable {
 		m.markUnreachable(now, w)
 	}
