broker: one client a sidecar sends at a time

What callers would see: jobs refused although a worker is free; or a run that goes on after its job was answered 504, because its stop had no effect.

Cause: the client of a sidecar that was silent for 10 s was closed even while it sent a batch, which happens after a pause of the entry instance. Its goroutine went on, beside that of the next client. A sidecar takes a batch with a lower number than the newest for a repetition, so that a batch that was overtaken that way is lost; and a batch with stops for a closed client is repeated for good and keeps the sidecar marked as unresponsive.

Change: a client that sends is not closed. Its batches are abandoned because the sidecar is out of contact, or sent; it is closed after that.

Evidence: TestSilentClientThatSends fails before the change.

--- a/internal/broker/contact_test.go
+++ b/internal/broker/contact_test.go
@@ -51,3 +51,24 @@
 
 // HasLeft implements Caller.
 func (waitingCaller) HasLeft() bool { return false }
+
+// TestSilentClientThatSends guards against two clients of a sidecar that send at a time, so that
+// the batch of one is taken for a repetition after that of the other, and against a batch that is
+// sent to a closed client for good.
+func TestSilentClientThatSends(t *testing.T) {
+	f := newFixture(t, &fakeSidecar{})
+	f.sendHeartbeat(1)
+	b := f.broker
+	b.withLock(func() {
+		now := clock.SinceBoot() + 2*sidecarTimeout
+		c := b.sidecars[f.peer.Process]
+		c.sending = true
+		if b.closeSilentClients(now); b.sidecars[f.peer.Process] != c {
+			t.Error("the client is closed while it sends")
+		}
+		c.sending = false
+		if b.closeSilentClients(now); b.sidecars[f.peer.Process] != nil {
+			t.Error("the silent client is not closed")
+		}
+	})
+}
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -75,10 +75,11 @@
 }
 
 // closeSilentClients closes the clients of the sidecars that have sent no message for
-// sidecarTimeout; mu is held.
+// sidecarTimeout, unless they send batches, which have to arrive before those of a new client;
+// mu is held.
 func (b *Broker) closeSilentClients(now time.Duration) {
 	for id, c := range b.sidecars {
-		if now-c.lastMessage > sidecarTimeout {
+		if !c.sending && now-c.lastMessage > sidecarTimeout {
 			delete(b.sidecars, id)
 			c.rpcClient.Close()
 		}
