disconnect: a close is noticed although the caller has sent data before

What callers would see: a task with two runs at a time: the entry instance goes on with a job whose caller has left and submits it again elsewhere.

Cause: the watch of a caller's connection ended with the first data that arrived while the request was handled, such as a second request or a line break after the body. Unread data also hid the close from the check before admission, since a read returns the data first.

Change: the watch goes on until the close. With unread data, poll with POLLRDHUP tells whether the peer has closed or reset the connection.

Evidence: TestDisconnectAfterData reports neither a close nor a reset before the change.

Cost: one more system call for each arrival of data during a request.

--- a/internal/disconnect/disconnect.go
+++ b/internal/disconnect/disconnect.go
@@ -40,33 +40,36 @@
 	return w
 }
 
-// wait waits until the peer closes the connection, sends data, or Stop is called.
+// wait waits until the peer closes the connection or Stop is called.
 func (w *Watcher) wait() {
 	defer close(w.ended)
 	closed := false
 	err := w.raw.Read(func(fd uintptr) bool {
-		var readable bool
-		closed, readable = peek(fd)
-		return readable // if not, Read waits until the connection is readable and calls again
+		closed = hasClosed(fd)
+		return closed // if not, Read waits until data or a close arrives and calls again
 	})
 	if closed || err != nil && !w.stopped.Load() {
 		close(w.left)
 	}
 }
 
-// peek reports whether the peer has closed or reset a connection, and whether a read
-// would return at once.
-func peek(fd uintptr) (closed, readable bool) {
+// hasClosed reports whether the peer has closed or reset a connection.
+func hasClosed(fd uintptr) bool {
 	var one [1]byte
 	n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if err == unix.EAGAIN || err == unix.EINTR {
-		return false, false
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return false
+	case err != nil || n == 0:
+		return true
 	}
-	return err != nil || n == 0, true
+	// Unread data hides a close from a read.
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	ready, err := unix.Poll(fds, 0)
+	return err == nil && ready > 0
 }
 
 // Left returns a channel that is closed when the peer closes or resets the connection.
-// When data arrives from the peer, the watch ends, and a later close is not reported.
 func (w *Watcher) Left() <-chan struct{} { return w.left }
 
 // HasLeft reports whether the peer has closed or reset the connection, also if the
@@ -76,7 +79,7 @@
 		return false
 	}
 	closed := false
-	err := w.raw.Control(func(fd uintptr) { closed, _ = peek(fd) })
+	err := w.raw.Control(func(fd uintptr) { closed = hasClosed(fd) })
 	return closed || err != nil
 }
 
--- a/internal/disconnect/disconnect_test.go
+++ b/internal/disconnect/disconnect_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connPair returns both ends of a TCP connection.
@@ -109,3 +111,46 @@
 		t.Error("the closed connection is not reported when Watch returns")
 	}
 }
+
+// TestDisconnectAfterData guards against a job that goes on after its caller has sent further
+// data and then closed the connection, and may have submitted the job again elsewhere.
+func TestDisconnectAfterData(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		server, client := connPair(t)
+		watcher := Watch(server)
+		if _, err := client.Write([]byte("\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		for n := 0; n == 0; { // the data has arrived
+			control(t, server, func(fd uintptr) { n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK) })
+		}
+		if watcher.HasLeft() {
+			t.Error("a connected caller is reported as disconnected")
+		}
+		if reset {
+			client.(*net.TCPConn).SetLinger(0)
+		}
+		client.Close()
+		select {
+		case <-watcher.Left():
+		case <-time.After(5 * time.Second):
+			t.Errorf("reset %v: disconnect not reported", reset)
+		}
+		if !watcher.HasLeft() {
+			t.Errorf("reset %v: the caller counts as connected", reset)
+		}
+		watcher.Stop()
+	}
+}
+
+// control calls f with the file descriptor of a connection.
+func control(t *testing.T, conn net.Conn, f func(fd uintptr)) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(f); err != nil {
+		t.Fatal(err)
+	}
+}
