placement: a heartbeat begins a session only if it names this incarnation

What callers would see: a task with two runs at a time.

Cause: the first heartbeat to an address names a new session, because the sidecar learns from the reply which process is there. If that process is one at which it is attached under another address, the entry instance took the session for the news that all of its runs had been dropped, and started their tasks again.

Change: a later session counts only in a heartbeat that names the entry incarnation whose reply the sidecar has received. The next heartbeat does, so that a sidecar that attaches again is used one heartbeat later.

Evidence: TestSessionOfUnconfirmedHeartbeat starts the task again before the change.

--- a/internal/decision/placement/contact_test.go
+++ b/internal/decision/placement/contact_test.go
@@ -132,3 +132,22 @@
 		t.Errorf("answer %+v, %v, want unfinished", a, ok)
 	}
 }
+
+// TestSessionOfUnconfirmedHeartbeat guards against runs that count as lost, and so start twice,
+// because a sidecar attaches to this entry instance under a second address: the first heartbeat
+// there names a later session although no run was dropped.
+func TestSessionOfUnconfirmedHeartbeat(t *testing.T) {
+	h := newHarness(t, 1)
+	h.heartbeat(0, 1, 32000)
+	h.submit(newJobSpec("a", 1, 60*ms))
+	h.takeRuns()
+	load := h.m.workers[process(0)].load
+	for _, confirmed := range []bool{false, true} {
+		load.Version++
+		h.m.Heartbeat(h.now, info(0), 5, load, confirmed)
+		h.collect()
+		if runs := h.takeRuns()[process(0)]; (len(runs) > 0) != confirmed {
+			t.Errorf("confirmed: %v, started again: %v", confirmed, runs)
+		}
+	}
+}
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -75,6 +75,8 @@
 		m.workers[id] = w
 	} else if session < w.session {
 		return "a later session of the sidecar is known"
+	} else if session > w.session && !confirmed {
+		return "the sidecar does not know yet whether it has a session here"
 	} else if load.Version <= w.load.Version {
 		return "" // reports and replies to batches overtake heartbeats all the time
 	}
