--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -75,10 +75,11 @@
 }
 
 // closeSilentClients closes the clients of the sidecars that have sent no message for
-// sidecarTimeout; mu is held.
+// sidecarTimeout, unless they send batches, which have to arrive before those of a new client;
+// mu is held.
 func (b *Broker) closeSilentClients(now time.Duration) {
 	for id, c := range b.sidecars {
-		if now-c.lastMessage > sidecarTimeout {
+		if !c.sending && now-c.lastMessage > sidecarTimeout {
 			delete(b.sidecars, id)
 			c.rpcClient.Close()
 		}
@@ -187,9 +188,7 @@
 	if !mayHaveArrived {
 		b.machine.BatchRejected(now, batch)
 	}
-	if exited {
-		b.machine.SidecarEnded(now, c.sidecar)
-	}
+	b.machine.SidecarLost(now, c.sidecar)
 	return true
 }
 
@@ -215,7 +214,7 @@
 	c := b.clientOf(req.Info.Sidecar)
 	c.lastMessage = now
 	c.noteClock(now, &req.Load)
-	if reason := b.machine.Heartbeat(now, req.Info, req.Session, req.Load); reason != "" {
+	if reason := b.machine.Heartbeat(now, req.Info, req.Session, req.Load, req.Confirmed(b.self.Process)); reason != "" {
 		event.LogRateLimited(event.HeartbeatIgnored, "sidecar", req.Info.Sidecar.Process.String(), "worker", req.Info.Worker, "reason", reason,
 			"session", req.Session, "fencingToken", req.Info.FencingToken)
 	}
--- a/internal/decision/placement/contact_test.go
+++ b/internal/decision/placement/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
@@ -113,3 +114,40 @@
 		}
 	}
 }
+
+// TestRefusalAfterEarlierSubmission guards against a caller that is told that its job has not
+// run although a worker has had a run of it, of an earlier submission at another entry instance.
+func TestRefusalAfterEarlierSubmission(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit(newJobSpec("a", 1, 60*ms))
+	run := h.takeRuns()[process(0)][0]
+	h.m.BatchRejected(h.now, Batch{Sidecar: process(0)}) // the worker takes no further runs
+	h.endRun(process(0), run, work.Outdated)
+	for len(h.answers) == 0 && h.now < 3*time.Second {
+		h.now += 20 * ms
+		h.m.Tick(h.now)
+		h.collect()
+	}
+	if a, ok := h.answers["a"]; !ok || a.State != work.Unfinished {
+		t.Errorf("answer %+v, %v, want unfinished", a, ok)
+	}
+}
+
+// TestSessionOfUnconfirmedHeartbeat guards against runs that count as lost, and so start twice,
+// because a sidecar attaches to this entry instance under a second address: the first heartbeat
+// there names a later session although no run was dropped.
+func TestSessionOfUnconfirmedHeartbeat(t *testing.T) {
+	h := newHarness(t, 1)
+	h.heartbeat(0, 1, 32000)
+	h.submit(newJobSpec("a", 1, 60*ms))
+	h.takeRuns()
+	load := h.m.workers[process(0)].load
+	for _, confirmed := range []bool{false, true} {
+		load.Version++
+		h.m.Heartbeat(h.now, info(0), 5, load, confirmed)
+		h.collect()
+		if runs := h.takeRuns()[process(0)]; (len(runs) > 0) != confirmed {
+			t.Errorf("confirmed: %v, started again: %v", confirmed, runs)
+		}
+	}
+}
