ownership: a model package that also plays each world with up to N faults

The model behind TestModel and TestModelFaults moves from _test files to internal/decision/ownership/model, which only tests and programs under test/ use.

Explore plays the worlds of a scenario with no fault, then each with one fault, with two and so on. A world is determined by its faults, each an option at a numbered point: before a message, before a call to a worker leaves, or at a grid of times. Worlds are played again from their start in place of being copied; a fault without an effect makes the world void. Faults are pauses, cuts, kills with restarts, calls carried out late, lost and held messages, callers that break off, a step of the time of day and, new in the model, moves of attachments.

--- a/internal/decision/ownership/model_caller_test.go
+++ b/internal/decision/ownership/model/caller.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"fmt"
@@ -17,6 +17,7 @@
 	world    *world
 	id       string
 	duration time.Duration // run time of each of its tasks
+	tasks    int
 	timeout  time.Duration
 	entry    *entryProcess // where it was submitted last
 	final    bool
@@ -30,7 +31,7 @@
 
 func (j *callerJob) spec() *work.Job {
 	return &work.Job{ID: j.id, Queue: "q", Service: "svc", MaxFailedRuns: 3, Objective: time.Second, ObjectiveFactor: 3, Timeout: j.timeout,
-		Steps: []work.Step{{Count: 2, Need: work.Resources{MilliCPU: 1000, MemoryMB: 1}, Estimate: j.duration}}}
+		Steps: []work.Step{{Count: j.tasks, Need: work.Resources{MilliCPU: 1000, MemoryMB: 1}, Estimate: j.duration}}}
 }
 
 // submit submits the job at an entry instance, and again elsewhere if that one is silent.
@@ -40,7 +41,7 @@
 	submission := j.submission
 	w := j.world
 	w.note("%s submitted at %v", j.id, e.id)
-	w.send("caller", e.id.Instance, &e.process, func() {
+	w.send(msgSubmit, "caller", e.id.Instance, &e.process, func() {
 		left := j.submission != submission || j.final
 		if left && w.guards.callerCheck {
 			return // the connection has been closed before the request is read
@@ -85,13 +86,35 @@
 // resubmit closes the connection to an entry instance and submits the job at another.
 func (j *callerJob) resubmit(e *entryProcess) {
 	w, submission := j.world, j.submission
-	w.send("caller", e.id.Instance, &e.process, func() { j.leave(e, submission) })
-	for _, other := range w.entries {
-		if other.id.Instance != e.id.Instance {
-			j.submit(other)
-			return
-		}
+	w.send(msgLeave, "caller", e.id.Instance, &e.process, func() { j.leave(e, submission) })
+	j.submit(w.otherEntry(e))
+}
+
+// otherEntry returns the present process of the other entry instance.
+func (w *world) otherEntry(e *entryProcess) *entryProcess {
+	if w.entries[0].id.Instance != e.id.Instance {
+		return w.entries[0]
 	}
+	return w.entries[1]
+}
+
+// breakOff closes the connection of the first job's caller, which submits the job at the
+// other entry instance after resubmitDelay. It reports whether the caller had no answer.
+func (w *world) breakOff() bool {
+	j := w.jobs["job-0"]
+	if j == nil || j.final {
+		return false
+	}
+	e, submission := j.entry, j.submission
+	j.submission++ // no answer reaches the caller any more
+	broken := j.submission
+	w.send(msgLeave, "caller", e.id.Instance, &e.process, func() { j.leave(e, submission) })
+	w.after(resubmitDelay, func() {
+		if !j.final && j.submission == broken {
+			j.submit(w.otherEntry(e))
+		}
+	})
+	return true
 }
 
 // leave tells an entry instance that the connection of a submission is closed.
@@ -111,7 +134,7 @@
 	if a.State == work.Refused {
 		j.refusedBy[e.id] = true
 	}
-	w.send(e.id.Instance, "caller", &process{world: w}, func() {
+	w.send(msgAnswer, e.id.Instance, "caller", &process{world: w}, func() {
 		if j.final || j.submission != submission {
 			return
 		}
@@ -138,9 +161,14 @@
 	}
 }
 
-// submitJob lets a caller submit a job with tasks of a run time.
+// submitJob lets a caller submit a job with two tasks of a run time.
 func (w *world) submitJob(e *entryProcess, duration, timeout time.Duration) {
-	j := &callerJob{world: w, id: fmt.Sprintf("job-%d", len(w.jobs)), duration: duration, timeout: timeout, refusedBy: map[ident.Process]bool{}, accepted: map[ident.Process]int{}}
+	w.submitTasks(e, 2, duration, timeout)
+}
+
+// submitTasks lets a caller submit a job with some tasks of a run time.
+func (w *world) submitTasks(e *entryProcess, tasks int, duration, timeout time.Duration) {
+	j := &callerJob{world: w, id: fmt.Sprintf("job-%d", len(w.jobs)), duration: duration, tasks: tasks, timeout: timeout, refusedBy: map[ident.Process]bool{}, accepted: map[ident.Process]int{}}
 	w.jobs[j.id] = j
 	j.submit(e)
 }
--- a/internal/decision/ownership/model_disturb_test.go
+++ b/internal/decision/ownership/model/disturb.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"time"
@@ -24,13 +24,15 @@
 	})
 }
 
-func (w *world) pause(p *process, d time.Duration) {
+// pause pauses a process, and reports whether it was at work.
+func (w *world) pause(p *process, d time.Duration) bool {
 	if p.dead || p.paused {
-		return
+		return false
 	}
 	p.paused = true
 	w.note("%v paused for %v", p.id, d)
 	w.after(d, p.resume)
+	return true
 }
 
 // disturb lets one random fault happen.
@@ -112,26 +114,37 @@
 	k.crash(delay, w.rnd.Intn(4) > 0)
 }
 
-func (w *world) restartSidecar(i int) {
+func (w *world) restartSidecar(i int) { w.restartSidecarAfter(i, w.random(50*ms, 600*ms)) }
+
+// restartSidecarAfter kills a sidecar, which starts again after a delay, and reports
+// whether it was alive.
+func (w *world) restartSidecarAfter(i int, delay time.Duration) bool {
 	old := w.sidecars[i]
+	alive := !old.dead
 	w.note("%v killed", old.id)
 	old.dead = true
-	w.after(w.random(50*ms, 600*ms), func() {
+	w.after(delay, func() {
 		if w.sidecars[i] == old {
 			w.sidecars[i] = w.newSidecar(old.worker, old.id.Incarnation+1)
 		}
 	})
+	return alive
 }
 
-func (w *world) restartEntry(i int) {
+func (w *world) restartEntry(i int) { w.restartEntryAfter(i, w.random(50*ms, 600*ms)) }
+
+// restartEntryAfter does the same to an entry instance.
+func (w *world) restartEntryAfter(i int, delay time.Duration) bool {
 	old := w.entries[i]
+	alive := !old.dead
 	w.note("%v killed", old.id)
 	old.dead = true
-	w.after(w.random(50*ms, 600*ms), func() {
+	w.after(delay, func() {
 		if w.entries[i] == old {
 			w.entries[i] = w.newEntry(old.id.Instance, old.id.Incarnation+1)
 		}
 	})
+	return alive
 }
 
 // pauseAfterDrop pauses a sidecar within 1 ms after it has dropped an owner with runs.
--- a/internal/decision/ownership/model_entry_test.go
+++ b/internal/decision/ownership/model/entry.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"math/rand"
@@ -85,7 +85,7 @@
 		builtAt := c.queue[0].builtAt
 		s := e.world.sidecarOf(id)
 		var reply wire.RunReply
-		e.world.call(&e.process, &s.process, func() { reply = s.handleBatch(e, batch, builtAt) }, func(r callResult) {
+		e.world.call(msgBatch, &e.process, &s.process, func() { reply = s.handleBatch(e, batch, builtAt) }, func(r callResult) {
 			c.sending = false
 			e.batchDone(id, c, batch, r, reply)
 			e.sendBatch(id, c)
--- /dev/null
+++ b/internal/decision/ownership/model/explore.go
@@ -0,0 +1,188 @@
+package model
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options are the settings of an exploration.
+type Options struct {
+	Scenario Scenario
+	// Without names a rule that is taken out, one of Removals; empty takes out none.
+	Without string
+	// Least and Faults are the smallest and the largest number of faults of a world.
+	Least, Faults int
+	// Grid is the time between the points at which faults strike without a message.
+	Grid time.Duration
+	// Deadline ends the exploration; zero sets none.
+	Deadline time.Time
+	// Parallel is the number of worlds played at a time.
+	Parallel int
+}
+
+// Result is the result of an exploration.
+type Result struct {
+	// Worlds is the number of different worlds, and Replays that of worlds played again to
+	// reach others or found to be one with fewer faults.
+	Worlds, Replays int
+	// Completed is the number of faults up to which all worlds were played, -1 if not even
+	// the world without faults.
+	Completed int
+	// Violation is empty, or a broken rule with its trace, in a world with Faults faults. No
+	// world with fewer faults breaks a rule.
+	Violation string
+	Faults    int
+}
+
+// Explore plays the worlds of a scenario without faults, with one fault, with two and so on.
+func Explore(o Options) Result {
+	e := &explorer{Options: o, options: newOptionTable(), guards: removal(o.Without)}
+	r := Result{Completed: o.Least - 1}
+	for n := o.Least; n <= o.Faults; n++ {
+		done := e.level(n)
+		r.Worlds, r.Replays = e.worlds, e.replays
+		if e.found != nil {
+			r.Violation, r.Faults = e.describe(e.found), n
+			return r
+		}
+		if !done {
+			return r
+		}
+		r.Completed = n
+	}
+	return r
+}
+
+type explorer struct {
+	Options
+	options optionTable
+	guards  guards
+
+	mu              sync.Mutex
+	worlds, replays int
+	// found is the first faults found to break a rule, by the order of their first fault,
+	// and foundIn the position of that.
+	found   []choice
+	foundIn int
+}
+
+// level plays the worlds with n faults, and reports whether it has played all of them.
+func (e *explorer) level(n int) (done bool) {
+	first, ok := e.play(nil, n > 0)
+	if n == 0 || !ok {
+		return ok
+	}
+	next, done := 0, true
+	var wait sync.WaitGroup
+	for range max(e.Parallel, 1) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				e.mu.Lock()
+				i := next
+				next++
+				stop := i >= len(first) || e.found != nil
+				e.mu.Unlock()
+				if stop {
+					return
+				}
+				if !e.search(first[i:i+1:i+1], n-1, i) {
+					e.mu.Lock()
+					done = false
+					e.mu.Unlock()
+					return
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	return done
+}
+
+// search plays the worlds that have some faults and n later ones. It returns false if the
+// time is over.
+func (e *explorer) search(faults []choice, n, position int) bool {
+	if !e.Deadline.IsZero() && time.Now().After(e.Deadline) {
+		return false
+	}
+	later, ok := e.playAt(faults, n > 0, position)
+	if !ok {
+		return true // a rule is broken
+	}
+	if n == 0 {
+		return true
+	}
+	for _, c := range later {
+		if e.passed(position) {
+			return true
+		}
+		if !e.search(append(faults[:len(faults):len(faults)], c), n-1, position) {
+			return false
+		}
+	}
+	return true
+}
+
+// passed reports whether an earlier position has broken a rule.
+func (e *explorer) passed(position int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.found != nil && e.foundIn <= position
+}
+
+func (e *explorer) play(faults []choice, replay bool) (later []choice, ok bool) {
+	return e.playAt(faults, replay, -1)
+}
+
+// playAt plays a world and returns the faults that can follow its last one. It returns
+// false if the world breaks a rule.
+func (e *explorer) playAt(faults []choice, replay bool, position int) (later []choice, ok bool) {
+	w := newTrial(e.Scenario, e.guards, e.Grid, e.options, faults, true)
+	playTrial(w)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if replay || w.trial.void {
+		e.replays++
+	} else {
+		e.worlds++
+	}
+	if w.trial.void {
+		return nil, true
+	}
+	if len(w.violations) > 0 {
+		if e.found == nil || position < e.foundIn {
+			e.found, e.foundIn = append([]choice{}, faults...), position
+		}
+		return nil, false
+	}
+	if !replay {
+		return nil, true
+	}
+	last := choice{}
+	if len(faults) > 0 {
+		last = faults[len(faults)-1]
+		last.option++
+	}
+	for step := last.step; step < len(w.trial.points); step++ {
+		option := 0
+		if step == last.step {
+			option = last.option
+		}
+		for ; option < len(e.options[w.trial.points[step]]); option++ {
+			later = append(later, choice{step, option})
+		}
+	}
+	return later, true
+}
+
+// describe plays a world again and returns its broken rules and its trace.
+func (e *explorer) describe(faults []choice) string {
+	w := newTrial(e.Scenario, e.guards, e.Grid, e.options, faults, false)
+	playTrial(w)
+	if len(w.violations) == 0 {
+		return "not repeatable: the same faults break no rule in a second play"
+	}
+	return strings.Join(w.violations, "\n")
+}
--- a/internal/decision/ownership/model_faults_test.go
+++ b/internal/decision/ownership/model/faults_test.go
@@ -1,10 +1,7 @@
-package ownership_test
+package model
 
 import "time"
 
-// jobTimeout is the timeout of the jobs of a fault's world.
-const jobTimeout = 20 * time.Second
-
 // playFault plays a world with one job and a fault that begins while the job runs, and
 // checks that each entry instance serves a job after it.
 func playFault(seed int64, g guards, f fault) *world {
--- a/internal/decision/ownership/model_guards_test.go
+++ b/internal/decision/ownership/model/guards.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 // guards are the rules that a test can take out, to show that the model finds the fault
 // which the rule prevents.
--- a/internal/decision/ownership/model_run_test.go
+++ b/internal/decision/ownership/model/run.go
@@ -1,9 +1,8 @@
-package ownership_test
+package model
 
 import (
 	"fmt"
 	"math/rand"
-	"testing"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
@@ -27,7 +26,12 @@
 
 // newWorld returns two entry instances and two sidecars with workers.
 func newWorld(seed int64, g guards) *world {
-	w := &world{guards: g, rnd: rand.New(rand.NewSource(seed)), jobs: map[string]*callerJob{}, cut: map[[2]string]int{}}
+	return newWorldWith(rand.New(rand.NewSource(seed)), g)
+}
+
+// newWorldWith returns such a world that draws what is left open from a chance.
+func newWorldWith(c chance, g guards) *world {
+	w := &world{guards: g, rnd: c, jobs: map[string]*callerJob{}, cut: map[[2]string]int{}}
 	for i := range 2 {
 		w.entries = append(w.entries, w.newEntry(fmt.Sprint("entry-", i), 1))
 	}
@@ -79,45 +83,3 @@
 	w.checkService()
 	return w
 }
-
-// TestModel guards against a task with two runs at a time, against a run of a job whose
-// caller was told that it has not run, and against entry instances that serve no jobs when
-// the faults are over. Processes and workers are paused, cut off and killed, calls to
-// workers are carried out late, clocks step, and callers submit their jobs again.
-func TestModel(t *testing.T) {
-	const worlds = 60
-	completed := 0
-	for seed := range int64(worlds) {
-		w := play(seed, allGuards)
-		completed += w.completed
-		for _, v := range w.violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
-	}
-	if completed < worlds*60 {
-		t.Errorf("%d jobs completed in %d worlds, so the model tests little", completed, worlds)
-	}
-}
-
-// TestModelFaults guards against the same in the situations that need a certain rule, and
-// against a model that can't fail: without the rule it finds the fault.
-func TestModelFaults(t *testing.T) {
-	const worlds = 40
-	for name, f := range faults {
-		without := allGuards
-		f.takeOut(&without)
-		foundBy := int64(-1)
-		for seed := range int64(worlds) {
-			for _, v := range playFault(seed, allGuards, f).violations {
-				t.Errorf("%s, seed %d: %s", name, seed, v)
-			}
-			if foundBy < 0 && len(playFault(seed, without, f).violations) > 0 {
-				foundBy = seed
-			}
-		}
-		if foundBy < 0 {
-			t.Errorf("without %s the model finds no fault in %d worlds", name, worlds)
-		}
-		t.Logf("without %s: a fault with seed %d", name, foundBy)
-	}
-}
--- a/internal/decision/ownership/model_sidecar_test.go
+++ b/internal/decision/ownership/model/sidecar.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"fmt"
@@ -21,16 +21,14 @@
 	m      *occupancy.Machine
 	owners []*modelOwner
 	// started holds the owners of the runs that this process has taken.
-	started map[work.RunID]ident.Process
+	started     map[work.RunID]ident.Process
+	attachments [numEntries]attachment
 }
 
-// firstSession is the session of the first heartbeats. The program begins with a time, which
-// is not zero either.
-const firstSession = uint64(1)
-
 type modelOwner struct {
 	ownership.Owner
 	entry       *entryProcess
+	attachment  *attachment
 	pendingEnds []wire.RunEnd
 	sending     bool
 	beating     bool // extraHeartbeat runs
@@ -104,12 +102,14 @@
 		s.after(250*ms, func() { s.heartbeat(entry) })
 		return
 	}
-	session := firstSession
+	session := s.attachments[entry].firstSession()
 	if o != nil {
 		session = o.Session()
 	}
+	a := &s.attachments[entry]
+	detaching := a.unwanted && (o == nil || !o.busy(s))
 	sentAt, info, load := s.clock(), s.info(), s.load(o)
-	s.world.call(&s.process, &e.process, func() { e.handleHeartbeat(info, session, load) }, func(r callResult) {
+	s.world.call(msgHeartbeat, &s.process, &e.process, func() { e.handleHeartbeat(info, session, load) }, func(r callResult) {
 		s.dropSilentOwners()
 		defer s.step()
 		delay := 250 * ms
@@ -117,7 +117,7 @@
 		case r == refused && o != nil:
 			s.drop(o)
 		case r == answered && o == nil:
-			o = &modelOwner{Owner: ownership.New(firstSession), entry: e}
+			o = &modelOwner{Owner: ownership.New(session), entry: e, attachment: a}
 			s.owners = append(s.owners, o)
 			o.HeartbeatAnswered(s.clock(), sentAt, session)
 		case r == answered:
@@ -126,6 +126,10 @@
 				delay = time.Second
 			}
 		}
+		if detaching && a.unwanted && (o == nil || !o.busy(s)) {
+			s.remove(a, o)
+			return
+		}
 		s.after(delay, func() { s.heartbeat(entry) })
 	})
 }
@@ -135,6 +139,7 @@
 	load.ClockMs = s.clock().Milliseconds()
 	if o != nil {
 		load.AppliedSequence = o.AppliedSequence()
+		load.AcceptsRuns = load.AcceptsRuns && !o.attachment.unwanted
 	}
 	return load
 }
@@ -186,7 +191,7 @@
 		return
 	}
 	sentAt, session, info, load := s.clock(), o.Session(), s.info(), s.load(o)
-	s.world.call(&s.process, &o.entry.process, func() { o.entry.handleHeartbeat(info, session, load) }, func(r callResult) {
+	s.world.call(msgHeartbeat, &s.process, &o.entry.process, func() { o.entry.handleHeartbeat(info, session, load) }, func(r callResult) {
 		s.dropSilentOwners()
 		defer s.step()
 		switch r {
@@ -231,7 +236,7 @@
 	}
 	o.sending = true
 	ends, load, sentAt, session := slices.Clone(o.pendingEnds), s.load(o), s.clock(), o.Session()
-	s.world.call(&s.process, &o.entry.process, func() {
+	s.world.call(msgEnds, &s.process, &o.entry.process, func() {
 		if c := o.entry.clients[s.id]; c != nil {
 			c.noteClock(s.world.now, load)
 		}
--- a/internal/decision/ownership/model_supervisor_test.go
+++ b/internal/decision/ownership/model/supervisor.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"slices"
@@ -48,57 +48,6 @@
 	setIncarnation       int64
 }
 
-// callWorker makes a call to the worker and handles the result. A pause of the sidecar
-// can come before the call and before the result.
-func (s *sidecarProcess) callWorker(timeout time.Duration, execute func(), done func(callResult)) {
-	w, k := s.world, s.worker
-	to, from := [2]string{s.id.Instance, k.name()}, [2]string{k.name(), s.id.Instance}
-	finished := false
-	finish := func(r callResult) {
-		if !finished {
-			finished = true
-			s.dropSilentOwners()
-			done(r)
-			s.step()
-		}
-	}
-	s.after(timeout, func() { finish(lost) })
-	s.after(w.random(0, ms), func() {
-		if !k.up && w.cut[to]+w.cut[from] == 0 {
-			s.after(ms, func() { finish(refused) })
-			return
-		}
-		// Behind a cut there is no connection to a life that began after the cut.
-		if w.cut[to]+w.cut[from] == 0 {
-			s.connectedLife = k.life
-		}
-		life := s.connectedLife
-		w.after(w.random(0, ms), func() {
-			w.deliver(to, func() {
-				if !finished && w.cut[from] == 0 {
-					life = k.life // a call in flight may reach the next life
-				}
-				if w.now < k.lateUntil && w.rnd.Intn(2) == 0 {
-					w.after(w.random(2*time.Second, 12*time.Second), func() { k.do(life, execute) })
-					return
-				}
-				k.do(life, func() {
-					execute()
-					delay := w.random(0, 2*ms)
-					if w.now < k.slowUntil {
-						delay = w.random(0, 120*ms)
-					}
-					w.after(delay, func() {
-						if w.cut[from] == 0 {
-							s.do(func() { finish(answered) })
-						}
-					})
-				})
-			})
-		})
-	})
-}
-
 // requestLease returns the end of leases that begin now, on the worker's clock.
 func (s *sidecarProcess) requestLease() time.Duration {
 	now := s.clock()
@@ -120,7 +69,7 @@
 func (s *sidecarProcess) startRun(run work.RunID) {
 	c := startCall{id: s.report.id, run: run, token: s.token, leaseEnd: s.requestLease(), owner: s.started[run], duration: s.world.jobs[run.Task.Job].duration}
 	var reply startReply
-	s.callWorker(startStopTimeout, func() { reply = s.worker.start(c) }, func(r callResult) {
+	s.callWorker(msgStart, startStopTimeout, func() { reply = s.worker.start(c) }, func(r callResult) {
 		switch r {
 		case refused:
 			reply.result = occupancy.Rejected
@@ -142,7 +91,7 @@
 
 func (s *sidecarProcess) stopRun(run work.RunID) {
 	ok, token := false, s.token
-	s.callWorker(startStopTimeout, func() { ok = s.worker.stop(token, run) }, func(r callResult) {
+	s.callWorker(msgStop, startStopTimeout, func() { ok = s.worker.stop(token, run) }, func(r callResult) {
 		if r == answered && ok {
 			s.m.StopConfirmed(s.clock(), run)
 			s.wakePoll()
@@ -170,7 +119,7 @@
 	}
 	requestedAt := s.clock()
 	var reply statusReply
-	s.callWorker(statusTimeout, func() { reply = s.worker.status(c) }, func(r callResult) {
+	s.callWorker(msgStatus, statusTimeout, func() { reply = s.worker.status(c) }, func(r callResult) {
 		if r == answered {
 			s.refusals = 0
 			s.waiting = s.handleStatus(requestedAt, reply)
--- a/internal/decision/ownership/model_worker_test.go
+++ b/internal/decision/ownership/model/worker.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"fmt"
@@ -74,10 +74,11 @@
 	w.after(w.random(0, 300*ms), func() { k.report(life) })
 }
 
-// crash ends the life; the next one begins after a delay.
-func (k *worker) crash(delay time.Duration, sameID bool) {
+// crash ends the life; the next one begins after a delay. It reports whether there was
+// one.
+func (k *worker) crash(delay time.Duration, sameID bool) bool {
 	if !k.up {
-		return
+		return false
 	}
 	w := k.world
 	w.note("%s crashes for %v, same identifier %v", k.name(), delay, sameID)
@@ -88,6 +89,7 @@
 		id = fmt.Sprintf("%s-%d", k.name(), k.life+1)
 	}
 	w.after(delay, func() { k.begin(id) })
+	return true
 }
 
 // report sends reports to the sidecar until the life ends.
@@ -118,9 +120,10 @@
 	}
 }
 
-func (k *worker) stall(d time.Duration) {
+// stall lets the worker stand still, and reports whether it was at work.
+func (k *worker) stall(d time.Duration) bool {
 	if k.stalled || !k.up {
-		return
+		return false
 	}
 	w, life := k.world, k.life
 	w.note("%s stands still for %v", k.name(), d)
@@ -137,4 +140,5 @@
 			f()
 		}
 	})
+	return true
 }
--- a/internal/decision/ownership/model_worker_calls_test.go
+++ b/internal/decision/ownership/model/worker_calls.go
@@ -1,4 +1,4 @@
-package ownership_test
+package model
 
 import (
 	"time"
--- /dev/null
+++ b/internal/decision/ownership/model/worker_client.go
@@ -0,0 +1,84 @@
+package model
+
+import "time"
+
+// callWorker makes a call to the worker and handles the result. A pause of the sidecar
+// can come before the call and before the result.
+func (s *sidecarProcess) callWorker(kind messageKind, timeout time.Duration, execute func(), done func(callResult)) {
+	c := &workerCall{sidecarProcess: s, kind: kind, execute: execute}
+	c.finish = func(r callResult) {
+		if !c.finished {
+			c.finished = true
+			s.dropSilentOwners()
+			done(r)
+			s.step()
+		}
+	}
+	w := s.world
+	s.after(timeout, func() { c.finish(lost) })
+	s.after(w.random(0, ms), func() {
+		w.pass(kind.leaving(), func() { s.do(c.leave) })
+	})
+}
+
+// workerCall is a call to a worker.
+type workerCall struct {
+	*sidecarProcess
+	kind     messageKind
+	execute  func()
+	finish   func(callResult)
+	finished bool
+}
+
+// links returns the links to the worker and back.
+func (c *workerCall) links() (to, from [2]string) {
+	return [2]string{c.id.Instance, c.worker.name()}, [2]string{c.worker.name(), c.id.Instance}
+}
+
+// leave sends the call on its way.
+func (c *workerCall) leave() {
+	w, k := c.world, c.worker
+	to, from := c.links()
+	isCut := w.cut[to]+w.cut[from] > 0
+	if !k.up && !isCut {
+		c.after(ms, func() { c.finish(refused) })
+		return
+	}
+	// Behind a cut there is no connection to a life that began after the cut.
+	if !isCut {
+		c.connectedLife = k.life
+	}
+	life := c.connectedLife
+	w.after(w.random(0, ms), func() {
+		w.pass(c.kind, func() {
+			w.deliver(to, func() { c.arrive(life) })
+		})
+	})
+}
+
+// arrive lets a life of the worker carry out the call and answer it.
+func (c *workerCall) arrive(life int) {
+	w, k := c.world, c.worker
+	_, from := c.links()
+	if !c.finished && w.cut[from] == 0 {
+		life = k.life // a call in flight may reach the next life
+	}
+	if w.now < k.lateUntil && w.rnd.Intn(2) == 0 {
+		w.after(w.random(2*time.Second, 12*time.Second), func() { k.do(life, c.execute) })
+		return
+	}
+	k.do(life, func() {
+		c.execute()
+		delay := w.random(0, 2*ms)
+		if w.now < k.slowUntil {
+			delay = w.random(0, 120*ms)
+		}
+		w.after(delay, func() {
+			w.pass(c.kind.reply(), func() {
+				if w.cut[from] == 0 {
+					c.do(func() { c.finish(answered) })
+				}
+			})
+		})
+	})
+}
--- a/internal/decision/ownership/model_test.go
+++ b/internal/decision/ownership/model/world.go
@@ -1,9 +1,12 @@
-package ownership_test
+// Package model plays callers, entry instances, sidecars and workers in virtual time on the
+// state machines of packages placement, ownership and occupancy, and checks that no task
+// has two runs at a time. A world draws its delays and faults at random, or is one of
+// those that Explore tries in turn. Only tests and programs under test/ use it.
+package model
 
 import (
 	"container/heap"
 	"fmt"
-	"math/rand"
 	"slices"
 	"strings"
 	"time"
@@ -18,7 +21,7 @@
 // workers, and a network between them that delays, holds back and loses messages.
 type world struct {
 	guards   guards
-	rnd      *rand.Rand
+	rnd      chance
 	now      time.Duration
 	sequence int
 	// clockStep is the sum of the steps of the time of day.
@@ -34,11 +37,18 @@
 	// violations describe the broken rules.
 	violations []string
 	completed  int
+	// trial is nil in a world with random faults.
+	trial *trial
+	// quiet leaves out the trace.
+	quiet bool
 	// trace describes the faults and what happened to the jobs.
 	trace []string
 }
 
 func (w *world) note(format string, args ...any) {
+	if w.quiet {
+		return
+	}
 	w.trace = append(w.trace, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
 }
 
@@ -83,7 +93,7 @@
 }
 
 func (w *world) runUntil(end time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= end && len(w.violations) == 0 {
+	for len(w.events) > 0 && w.events[0].at <= end && len(w.violations) == 0 && (w.trial == nil || !w.trial.void) {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.run()
@@ -133,9 +143,11 @@
 
 // send delivers a message to a process after the delay of the network. While the link is
 // cut the message is held back.
-func (w *world) send(from, to string, receiver *process, f func()) {
+func (w *world) send(kind messageKind, from, to string, receiver *process, f func()) {
 	w.after(w.random(ms, 6*ms), func() {
-		w.deliver([2]string{from, to}, func() { receiver.do(f) })
+		w.pass(kind, func() {
+			w.deliver([2]string{from, to}, func() { receiver.do(f) })
+		})
 	})
 }
 
@@ -191,7 +203,7 @@
 )
 
 // call makes a remote call. handle runs at the receiver, done at the caller.
-func (w *world) call(from, to *process, handle func(), done func(callResult)) {
+func (w *world) call(kind messageKind, from, to *process, handle func(), done func(callResult)) {
 	finished := false
 	finish := func(r callResult) {
 		if !finished {
@@ -205,8 +217,8 @@
 		from.after(w.random(ms, 6*ms), func() { finish(refused) })
 		return
 	}
-	w.send(a, b, to, func() {
+	w.send(kind, a, b, to, func() {
 		handle()
-		w.send(b, a, from, func() { finish(answered) })
+		w.send(kind.reply(), b, a, from, func() { finish(answered) })
 	})
 }
