modelcheck: go on after a broken rule; count a removal only where it matters

With two faults, a world breaks a rule with every rule in place (a sidecar paused before its start call leaves, its worker started again under its identifier meanwhile), so the exploration ended there, and any removed rule would have been "found" in that world.

- --go-on plays the remaining worlds, too, and lists the kinds of faults that break a rule with the number of worlds and the first trace.

--- a/test/modelcheck/explore.go
+++ b/test/modelcheck/explore.go
@@ -17,8 +17,13 @@
 		begin := time.Now()
 		r := model.Explore(o)
 		fmt.Printf("%s (%s): %d worlds, %s, %.1f s\n", s.Name, s.Description, r.Worlds, depth(r), time.Since(begin).Seconds())
-		if r.Violation != "" {
+		for _, b := range r.Broken {
+			fmt.Printf("rule broken in %d worlds with: %s\n%s\n", b.Worlds, b.Faults, b.Trace)
+		}
+		if r.Violation != "" || len(r.Broken) > 0 {
 			broken++
+		}
+		if r.Violation != "" {
 			fmt.Printf("rule broken with %d faults:\n%s\n", r.Faults, r.Violation)
 		}
 	}
