ownership model: workers of an hour's age in the explored worlds

The workers' clocks began with the world, one second before the first submission, so that a lease end of an earlier life lay in the future of the next life's clock only after a restart late in the window. Real workers have run for longer.

--- a/internal/decision/ownership/model/scenario.go
+++ b/internal/decision/ownership/model/scenario.go
@@ -26,6 +26,10 @@
 // by then.
 const begin = time.Second
 
+// workerAge is the age of the workers when a world begins. The clock of one that starts
+// again is behind that of its earlier life by more than any lease.
+const workerAge = time.Hour
+
 // Scenarios are the scenarios that are explored.
 var Scenarios = []Scenario{
 	newScenario("short", "a task of 0.9 s at entry-0", 1200*ms, submitted{0, 0, 1, 900 * ms, jobTimeout}),
@@ -55,6 +59,9 @@
 	w := newWorldWith(&longest{seed: s.seed}, g)
 	w.quiet = quiet
 	w.trial = &trial{options: options, faults: faults, from: s.from, to: s.to}
+	for _, k := range w.workers {
+		k.bornAt -= workerAge
+	}
 	for _, j := range s.submit {
 		w.after(j.at, func() { w.submitTasks(w.entries[j.entry], j.tasks, j.runTime, j.timeout) })
 	}
