runner: no start call long after the decision to start the run

Callers would see two runs of a task at the same time: a sidecar decides to start a run and is paused before the call leaves; its worker starts again under its identifier, and after 2 s of silence the entry instance starts the task elsewhere. On waking the sidecar makes the call. The identifier fits, and the lease end, a time on the earlier process's clock, lies in the future of the new one's.

Change: the call is made at most 200 ms after the decision, on the clock that counts suspension; otherwise the run ends as not run. The limit is above the time for which a process may be without processor time under a quota, and below the 700 ms after which runs of silent owners are stopped and the 0.9 s after which a silent sidecar's tasks are given up.

TestStartCallAfterPause does not compile without callStart; with its check taken out it fails (one start call after a pause). The model has the rule as "start-delay". What remains is a pause between the check and the system call (docs/design.md).

--- a/internal/decision/ownership/model/guards.go
+++ b/internal/decision/ownership/model/guards.go
@@ -20,10 +20,11 @@
 	// submission.
 	// lifeToken: calls to an earlier life of the worker have no effect at the next one.
 	// needsLease: leases are extended only while a run is to go on.
-	unanswered, fencing, restart, leaseExpiry, responsive, superseded, lifeToken, needsLease bool
+	// startDelay: a sidecar makes no start call long after the decision.
+	unanswered, fencing, restart, leaseExpiry, responsive, superseded, lifeToken, needsLease, startDelay bool
 }
 
 var allGuards = guards{
 	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
-	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true, lifeToken: true, needsLease: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true, lifeToken: true, needsLease: true, startDelay: true,
 }
--- a/internal/decision/ownership/model/removals.go
+++ b/internal/decision/ownership/model/removals.go
@@ -25,6 +25,7 @@
 	{"fencing", "stream", func(g *guards) { g.fencing = false }},
 	{"worker-restart", "short", func(g *guards) { g.restart = false }},
 	{"lease-expiry", "short", func(g *guards) { g.leaseExpiry = false }},
+	{"start-delay", "short", func(g *guards) { g.startDelay = false }},
 	{"batch-age", "short", func(g *guards) { g.batchAge = false }},
 }
 
--- a/internal/decision/ownership/model/worker_client.go
+++ b/internal/decision/ownership/model/worker_client.go
@@ -5,7 +5,7 @@
 // callWorker makes a call to the worker and handles the result. A pause of the sidecar
 // can come before the call and before the result.
 func (s *sidecarProcess) callWorker(kind messageKind, timeout time.Duration, execute func(), done func(callResult)) {
-	c := &workerCall{sidecarProcess: s, kind: kind, execute: execute}
+	c := &workerCall{sidecarProcess: s, kind: kind, decidedAt: s.world.now, execute: execute}
 	c.finish = func(r callResult) {
 		if !c.finished {
 			c.finished = true
@@ -24,12 +24,16 @@
 // workerCall is a call to a worker.
 type workerCall struct {
 	*sidecarProcess
-	kind     messageKind
-	execute  func()
-	finish   func(callResult)
-	finished bool
+	kind      messageKind
+	decidedAt time.Duration
+	execute   func()
+	finish    func(callResult)
+	finished  bool
 }
 
+// maxStartDelay is the time after the decision after which a start call is not made.
+const maxStartDelay = 200 * ms
+
 // links returns the links to the worker and back.
 func (c *workerCall) links() (to, from [2]string) {
 	return [2]string{c.id.Instance, c.worker.name()}, [2]string{c.worker.name(), c.id.Instance}
@@ -38,6 +42,10 @@
 // leave sends the call on its way.
 func (c *workerCall) leave() {
 	w, k := c.world, c.worker
+	if c.kind == msgStart && w.now-c.decidedAt > maxStartDelay && w.guards.startDelay {
+		c.finish(refused)
+		return
+	}
 	to, from := c.links()
 	isCut := w.cut[to]+w.cut[from] > 0
 	if !k.up && !isCut {
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -17,6 +17,10 @@
 	// startStopTimeout is the timeout of a StartRun or StopRun call. Workers reply in
 	// about a millisecond.
 	startStopTimeout = 40 * time.Millisecond
+	// maxStartDelay is the time after the decision to start a run after which the call is
+	// not made. It is shorter than the silence of a sidecar after which its tasks are started
+	// elsewhere.
+	maxStartDelay = 200 * time.Millisecond
 	// statusWait is the Wait of a status request while runs are active, and
 	// statusTimeout the additional time for the reply. The sidecar notices no ended
 	// run for the sum of both when a request gets no reply.
@@ -102,15 +106,25 @@
 
 // startRun sends the start call of a run in a new goroutine; mu is held.
 func (s *supervisor) startRun(start occupancy.StartRun) {
-	req := StartRequest{WorkerID: s.runner.report.ID, Run: start.Run, Payload: start.Payload, FencingToken: s.fencingToken, LeaseEndMs: s.recordLeaseRequest(clock.SinceBoot())}
+	decidedAt := clock.SinceBoot()
+	req := StartRequest{WorkerID: s.runner.report.ID, Run: start.Run, Payload: start.Payload, FencingToken: s.fencingToken, LeaseEndMs: s.recordLeaseRequest(decidedAt)}
 	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, startStopTimeout)
-		defer cancel()
-		reply := s.client.StartRun(ctx, req)
-		s.handleStartReply(req, reply)
+		s.handleStartReply(req, s.callStart(req, decidedAt))
 	}()
 }
 
+// callStart makes a start call that was decided on at decidedAt. After a pause of this
+// process it makes none: the task may be started elsewhere by now, and a worker process that
+// began meanwhile reads the lease end on another clock.
+func (s *supervisor) callStart(req StartRequest, decidedAt time.Duration) StartReply {
+	if clock.SinceBoot()-decidedAt > maxStartDelay {
+		return StartReply{Result: occupancy.Rejected, Reason: "the sidecar was paused before the start call"}
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, startStopTimeout)
+	defer cancel()
+	return s.client.StartRun(ctx, req)
+}
+
 // handleStartReply handles the result of a start call.
 func (s *supervisor) handleStartReply(req StartRequest, reply StartReply) {
 	r, run := s.runner, req.Run
--- a/internal/runner/supervisor_test.go
+++ b/internal/runner/supervisor_test.go
@@ -67,3 +67,27 @@
 		})
 	}
 }
+
+// countingWorker counts the start calls.
+type countingWorker struct {
+	freshWorker
+	starts int
+}
+
+func (w *countingWorker) StartRun(context.Context, StartRequest) StartReply {
+	w.starts++
+	return StartReply{Result: occupancy.Accepted}
+}
+
+// Guards against a start call that a sidecar makes after a pause, when its task runs elsewhere and the worker has restarted.
+func TestStartCallAfterPause(t *testing.T) {
+	w := &countingWorker{}
+	s := &supervisor{client: w, ctx: t.Context()}
+	now := clock.SinceBoot()
+	if reply := s.callStart(StartRequest{}, now-maxStartDelay-time.Millisecond); reply.Result != occupancy.Rejected || w.starts != 0 {
+		t.Errorf("after a pause: %d start calls, result %v", w.starts, reply.Result)
+	}
+	if reply := s.callStart(StartRequest{}, now+time.Minute); reply.Result != occupancy.Accepted || w.starts != 1 {
+		t.Errorf("without a pause: %d start calls, result %v", w.starts, reply.Result)
+	}
+}
