ctl: an attempt that the timeout prevents does not make the outcome unknown

What callers saw: a change or submission to a server that refuses every connection ended with exit code 5, outcome unknown, in place of 7. The last attempt began so late that the timeout passed before it could connect. The HTTP client then returns the same error as for a response that does not arrive in time, and the command took the request as possibly sent.

The client now records whether any connection has been established. Before the first one, no request can have been sent: the HTTP client connects and sends within the call, and nothing of the call continues after it. After the first connection, an unanswered request counts as possibly sent, as before.

TestTimeoutBeforeConnection fails without the change: exit code 5 for a change and for a submission with a timeout of 1 ns. With it, the exit code for a server without a listener does not depend on processor time.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,8 @@
 	callerURL   string
 	operatorURL string
 	deadline    time.Time
+	// connected is true once any connection has been established.
+	connected atomic.Bool
 }
 
 // requester sends HTTP requests.
@@ -38,19 +41,33 @@
 // operator, which are "ip:port" or URLs. The deadline of all calls is timeout from
 // now.
 func NewClient(server, operator string, timeout time.Duration) *Client {
-	return &Client{
-		http: &fasthttp.Client{
-			Name:                "cardamomctl",
-			MaxResponseBodySize: maxResponseBytes,
-			// The commands decide which requests may be repeated.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
+	c := &Client{
 		clock:       clock.Real{},
 		callerURL:   baseURL(server),
 		operatorURL: baseURL(operator),
 		deadline:    time.Now().Add(timeout),
 	}
+	c.http = &fasthttp.Client{
+		Name:                "cardamomctl",
+		MaxResponseBodySize: maxResponseBytes,
+		DialTimeout:         c.dial,
+		// The commands decide which requests may be repeated.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	return c
+}
+
+// dial connects to an address. A timeout of zero selects that of fasthttp.
+func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = fasthttp.DefaultDialTimeout
+	}
+	conn, err := fasthttp.DialTimeout(address, timeout)
+	if err == nil {
+		c.connected.Store(true)
+	}
+	return conn, err
 }
 
 // remaining returns the time until the deadline.
@@ -114,7 +131,7 @@
 		req.Header.SetContentType("application/json")
 	}
 	if err := c.http.DoDeadline(req, res, deadline); err != nil {
-		return nil, &noResponseError{maybeSent: !isDialError(err), err: errors.Annotatef(err, "%s %s%s", method, base, path)}
+		return nil, &noResponseError{maybeSent: c.connected.Load() && !isDialError(err), err: errors.Annotatef(err, "%s %s%s", method, base, path)}
 	}
 	return &response{
 		Status:           res.StatusCode(),
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -214,6 +214,19 @@
 	}
 }
 
+// Guards against an outcome that is reported as unknown although no connection to a server
+// was established, because the timeout passed before the last attempt began.
+func TestTimeoutBeforeConnection(t *testing.T) {
+	for _, args := range [][]string{
+		{"delete", "--timeout", "1ns", "kinds", "x"},
+		{"submit", "--timeout", "1ns", "--team", "a", "--kind", "b", "--id", submissionPrefix + "x"},
+	} {
+		if code, _, errOut := runCtl("127.0.0.1:1", "", args...); code != ExitUnavailable {
+			t.Errorf("%v: exit code %d, want %d: %s", args, code, ExitUnavailable, errOut)
+		}
+	}
+}
+
 // Guards against details of an error response that are not printed, and against a
 // deletion that is sent without its version condition.
 func TestErrorDetails(t *testing.T) {
