runner: the fencing token is raised also after refusals of a process that runs on

What callers would see: a task with two runs at a time, or a run that its sidecar does not know.

Cause: two refused connections make the supervisor forget which worker process it had. If that process answers again, its status did not set it again, because its incarnation was the known one. So when the worker restarted later, the token was not raised, and a call that the ended process had left unanswered could have effect at the next one. The same holds for a supervisor at a new address of the same process.

Evidence: TestEarlierCallsFencedAfterRefusals fails before the change.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -38,7 +38,13 @@
 // capacity, so it gets no runs before its report.
 func (r *Runner) setStatusIncarnation(now, requestedAt time.Duration, incarnation int64) {
 	r.statusRequestedAt = requestedAt
-	if incarnation == 0 || incarnation == r.statusIncarnation {
+	if incarnation == 0 {
+		return
+	}
+	if incarnation == r.statusIncarnation {
+		if r.supervisor.incarnation == 0 { // refused connections, or the supervisor is new
+			r.supervisor.incarnation = incarnation
+		}
 		return
 	}
 	r.statusIncarnation = incarnation
