broker, placement: a start abandoned out of contact no longer holds its job until the deadline

What callers would see: a job whose run never started is answered 504 only at its deadline.

Cause: a batch without a reply is abandoned when its sidecar has been silent for 0.9 s. If the batch never arrived, the sidecar has no runs of this entry instance, so it drops nothing and returns in the same session within the 2 s of the leases. Its task then stayed at the worker: nobody sent the run again, and no end of it came.

Change: abandoned batches are kept with their worker. When it returns in the same session and its summary does not include the batch, its runs are stopped. The sidecar reports them as not run, and the higher sequence of the stops keeps a delayed transmission from having effect. Batches that the sidecar has carried out are left alone.

The tests of broker, placement and ownership (its model included) pass after it.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -188,7 +188,7 @@
 	if !mayHaveArrived {
 		b.machine.BatchRejected(now, batch)
 	}
-	b.machine.SidecarLost(now, c.sidecar)
+	b.machine.BatchAbandoned(now, batch)
 	return true
 }
 
--- a/internal/decision/ownership/model_entry_test.go
+++ b/internal/decision/ownership/model_entry_test.go
@@ -132,7 +132,7 @@
 	if !c.mayHaveArrived {
 		e.m.BatchRejected(now, batch)
 	}
-	e.m.SidecarLost(now, id)
+	e.m.BatchAbandoned(now, batch)
 	c.queue, c.mayHaveArrived = c.queue[1:], false
 }
 
--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -18,6 +18,33 @@
 	}
 }
 
+// BatchAbandoned records that a batch that may have arrived is not sent again, because its
+// sidecar has ended or is out of contact. If the sidecar is heard again in the same session
+// and has not carried out the batch, the runs in it are stopped and placed again.
+func (m *Machine) BatchAbandoned(now time.Duration, batch Batch) {
+	m.SidecarLost(now, batch.Sidecar)
+	if w := m.workers[batch.Sidecar]; w != nil && w.session == batch.Session && len(batch.Runs) > 0 {
+		w.abandoned = append(w.abandoned, batch)
+	}
+}
+
+// stopAbandonedRuns stops the runs of unanswered jobs in the abandoned batches that a sidecar
+// has not carried out. The batch with the stops has a higher sequence, so the abandoned ones
+// have no effect after it.
+func (m *Machine) stopAbandonedRuns(w *worker) {
+	for _, batch := range w.abandoned {
+		if batch.Session != w.session || batch.Sequence <= w.load.AppliedSequence {
+			continue
+		}
+		for _, r := range batch.Runs {
+			if t := w.tasks[r.Run]; t != nil && !t.job.answered {
+				m.stopRun(t)
+			}
+		}
+	}
+	w.abandoned = nil
+}
+
 // contactCheckInterval is the time between two checks of all workers for messages that
 // have not come.
 const contactCheckInterval = 20 * time.Millisecond
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -34,6 +34,9 @@
 	// unsentRuns and unsentStops are the content of the next batch.
 	unsentRuns  []wire.RunRequest
 	unsentStops []work.RunID
+	// abandoned holds the batches with runs that were abandoned while the sidecar was out
+	// of contact.
+	abandoned []Batch
 	// acceptedRuns is true once a heartbeat has reported that the worker accepts
 	// runs. Before that, the sidecar verifies that the worker runs nothing that an
 	// earlier sidecar process started.
@@ -91,6 +94,7 @@
 	}
 	m.setInfo(w, info)
 	m.SetLoad(now, id, load)
+	m.stopAbandonedRuns(w)
 	if load.AcceptsRuns && !w.acceptedRuns {
 		w.acceptedRuns = true
 		m.endPredecessors(now, w)
