runner: status requests don't follow each other without a delay before a process has reported

What callers would see: late ends, because the sidecar uses its whole processor until the report of the worker arrives.

Cause: a worker process with an earlier start time than the newest report does not count as contact, so it is asked for no wait. While it lists a run it answers each request at once, and the delay stood only after requests with a wait. It needs a time of day that was set back and a run at the new process, for example from a late start call.

Change: after two statuses in a row that ask for no wait, the next request follows after statusRetryDelay.

Evidence: TestStatusRequestsBeforeReportOfNextProcess counts 1000 requests, where it ends them, in less than a second before the change. The tests of the package pass after it.

--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -26,6 +26,10 @@
 	// timeout, and the least time between two requests to a worker that refused the
 	// fencing token or did not wait although no run had ended.
 	statusRetryDelay = 30 * time.Millisecond
+	// maxHastyStatuses is the number of status requests in a row that ask for no wait and
+	// follow each other without a delay: the first one, and one with a raised token or an
+	// acknowledgment. A process that has not reported is asked for no wait.
+	maxHastyStatuses = 2
 	// workerTimeout is the time without a status after which the worker gets no
 	// runs and its leases are not extended. It covers several requests, because a
 	// healthy worker also leaves single requests unanswered.
@@ -167,6 +171,7 @@
 // sends one request at a time, so that the replies arrive in order.
 func (s *supervisor) pollStatus() {
 	failures, refusals := 0, 0
+	hasty := 0 // statuses in a row that ask for no wait and after which polling goes on
 	for s.ctx.Err() == nil {
 		req, requestedAt := s.nextStatusRequest()
 		sentAt := time.Now()
@@ -178,10 +183,14 @@
 		}
 		if err == nil {
 			failures, refusals = 0, 0
+			pause := s.handleStatus(requestedAt, reply)
+			if hasty++; pause || req.Wait > 0 {
+				hasty = 0
+			}
 			switch {
-			case s.handleStatus(requestedAt, reply):
+			case pause:
 				s.waitForRuns()
-			case reply.Fenced, req.Wait > 0 && len(reply.Ended) == 0:
+			case reply.Fenced, req.Wait > 0 && len(reply.Ended) == 0, hasty > maxHastyStatuses:
 				clock.Sleep(s.ctx, statusRetryDelay-time.Since(sentAt))
 			}
 			continue
--- a/internal/runner/supervisor_test.go
+++ b/internal/runner/supervisor_test.go
@@ -17,6 +17,7 @@
 	freshWorker
 	status      StatusReply
 	lowestToken int64
+	reported    int64 // incarnation of the newest report, zero if there is none
 	polls       int
 	cancel      context.CancelFunc
 }
@@ -39,6 +40,7 @@
 	s.ctx, w.cancel = context.WithTimeout(t.Context(), time.Second)
 	defer w.cancel()
 	r.supervisor = s
+	r.report.Incarnation = w.reported
 	s.pollStatus()
 }
 
