runner: a second heartbeat follows the first reply of an entry instance at once

What callers would see: less room for up to a second after each restart of a sidecar. An entry instance that knows the earlier process uses the next one only after a heartbeat that names the entry incarnation, which came with the next regular one.

TestHeartbeatAfterFirstReply fails before the change (due after 1 s, want at once). Only the first reply has this effect, so heartbeats can't follow each other without a delay.

--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -203,6 +203,9 @@
 		return err
 	}
 	r := c.runner
+	if c.owner == nil {
+		c.wake() // the entry instance may know an earlier process and wait for a heartbeat that names it
+	}
 	if c.owner == nil || c.owner.process != reply.Entry {
 		if c.owner != nil {
 			r.dropOwner(now, c.owner, "another process answers", 0)
--- a/internal/runner/entryclient_test.go
+++ b/internal/runner/entryclient_test.go
@@ -90,3 +90,24 @@
 		}
 	}
 }
+
+// Guards against a restarted sidecar that an entry instance does not use for a second, because
+// the heartbeat that names the entry instance, by which it is told from its predecessor, is not due before.
+func TestHeartbeatAfterFirstReply(t *testing.T) {
+	now := clock.SinceBoot()
+	r := newTestRunner(t, now)
+	c := newTestClient(r, now)
+	reply := &wire.RunnerHeartbeatReply{Entry: ident.Process{Instance: "entry", Incarnation: 2}}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.owner, c.lastSentAt = nil, now
+	for _, want := range []time.Duration{0, idleHeartbeatInterval} {
+		if err := c.handleReply(now, now, 4, reply); err != nil {
+			t.Fatal(err)
+		}
+		if delay := c.dueAt(now) - now; delay != want {
+			t.Errorf("the next heartbeat is due after %v, want %v", delay, want)
+		}
+		c.sendNow = false
+	}
+}
