--- a/internal/decision/ownership/model/removals.go
+++ b/internal/decision/ownership/model/removals.go
@@ -17,7 +17,8 @@
 	{"owner-timeout-and-lease-limit", "long", func(g *guards) { g.ownerTimeout, g.leaseLimit = false, false }},
 	{"abandoning-jobs", "wide", func(g *guards) { g.pause = false }},
 	{"lease-limit", "long", func(g *guards) { g.leaseLimit = false }},
-	{"dropped-owner-lease-limit", "long", func(g *guards) { g.droppedLimit = false }},
+	// Either of these two bounds the leases of a dropped owner's runs.
+	{"dropped-owner-leases", "long", func(g *guards) { g.droppedLimit, g.needsLease = false, false }},
 	{"caller-check", "short", func(g *guards) { g.callerCheck = false }},
 	{"predecessor-runs", "short", func(g *guards) { g.leftovers = false }},
 	{"abandoned-batch", "wide", func(g *guards) { g.responsive = false }},
