occupancy, runner: a crash of the worker is told apart from other ends of its runs

Change, no decision depends on it: a sidecar logs E8019 for each worker process that exits without having said so, with the runs that may have been at work there, also those of an earlier sidecar process, those whose start was in flight and those whose leases expired while nothing was heard. The end of a run says whether the worker crashed (E8003 crash=yes, possible, no), and the answer of a job how often (E8001 crashes, possibleCrashes).

Ruled out as a source of crashes: an exit that the worker has announced, by draining or deregistration, and a cut after which the same process is heard again (tests).

--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -50,7 +50,7 @@
 	nameFieldPattern = regexp.MustCompile(`\b(?:worker|lastWorker|owner|sidecar|peer)="([^"]+)"`)
 	// processEventPattern matches the events that are about processes and workers,
 	// not about jobs.
-	processEventPattern = regexp.MustCompile(`"E(8004|8005|8006|8007|8008|8009|8010|8011|8012|8014|8016|8017|9006|9007|1001|1002|1003|2001|2002) `)
+	processEventPattern = regexp.MustCompile(`"E(8004|8005|8006|8007|8008|8009|8010|8011|8012|8014|8016|8017|8019|9006|9007|1001|1002|1003|2001|2002) `)
 )
 
 func (p *program) trace(c *cli.Context) error {
--- /dev/null
+++ b/internal/decision/occupancy/crash_test.go
@@ -0,0 +1,133 @@
+package occupancy
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// takeCrashes returns the ends and the crashes that the machine has reported since the last
+// call.
+func takeCrashes(m *Machine) (ends []wire.RunEnd, crashes []WorkerCrashed) {
+	for _, a := range m.Actions() {
+		switch a := a.(type) {
+		case ReportEnd:
+			ends = append(ends, a.End)
+		case WorkerCrashed:
+			crashes = append(crashes, a)
+		}
+	}
+	return ends, crashes
+}
+
+// newCrashMachine returns a machine of the worker process {w, 1} with two runs: the first is
+// listed, the second is accepted and not listed yet.
+func newCrashMachine(t *testing.T) (m *Machine, listed, accepted work.RunID) {
+	t.Helper()
+	m = newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("listed", 1, 0), request("accepted", 1, 0)})
+	starts := takeStarts(m)
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(starts))
+	}
+	m.StartAnswered(ms, starts[0], Accepted, "")
+	m.ApplyStatus(3*ms, WorkerStatus{RequestedAt: 2 * ms, Running: []Progress{{Run: starts[0]}}})
+	m.StartAnswered(4*ms, starts[1], Accepted, "")
+	return m, starts[0], starts[1]
+}
+
+// Guards against a crash that is blamed on no run, on a part of the runs, or counted twice.
+func TestCrashNamesRuns(t *testing.T) {
+	m, listed, accepted := newCrashMachine(t)
+	m.WorkerExited(20*ms, 10*ms)
+	ends, crashes := takeCrashes(m)
+	if len(ends) != 2 || ends[0].Crash != work.Crashed || ends[1].Crash != work.Crashed {
+		t.Errorf("ends %+v, want two that ended with the crash", ends)
+	}
+	if len(crashes) != 1 || !slices.Equal(crashes[0].Runs, []work.RunID{listed, accepted}) {
+		t.Fatalf("crashes %+v, want one of both runs", crashes)
+	}
+	m.WorkerExited(50*ms, 40*ms)
+	m.SetWorker(60*ms, Worker{ID: "w", Incarnation: 2})
+	if _, again := takeCrashes(m); len(again) > 0 {
+		t.Errorf("crashes %+v of a process whose crash is known", again)
+	}
+}
+
+// Guards against a run that crashes the worker before its start call is answered and is taken
+// for one that has not run.
+func TestCrashDuringStartCall(t *testing.T) {
+	m := newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("a", 1, 0)})
+	run := takeStarts(m)[0]
+	m.WorkerExited(3*ms, 2*ms)
+	m.StartAnswered(4*ms, run, Unanswered, "connection reset")
+	m.SetWorker(9*ms, Worker{ID: "w", Incarnation: 2})
+	m.ApplyStatus(20*ms, WorkerStatus{RequestedAt: 10 * ms})
+	m.StopConfirmed(21*ms, run)
+	m.ApplyStatus(30*ms, WorkerStatus{RequestedAt: 22 * ms})
+	ends, crashes := takeCrashes(m)
+	if len(ends) != 1 || ends[0].Crash != work.Crashed {
+		t.Errorf("ends %+v, want one that ended with the crash", ends)
+	}
+	named := 0
+	for _, c := range crashes {
+		if c.Worker.Incarnation != 1 {
+			t.Errorf("crash of process %d, want 1", c.Worker.Incarnation)
+		}
+		named += len(c.Runs)
+	}
+	if named != 1 {
+		t.Errorf("crashes %+v name %d runs, want 1", crashes, named)
+	}
+}
+
+// Guards against a crash that goes unnoticed because nothing was heard of the worker meanwhile,
+// and against a cut that counts as a crash.
+func TestCrashAfterSilence(t *testing.T) {
+	m, listed, accepted := newCrashMachine(t)
+	m.LeasesExpired(1500 * ms)
+	if ends, crashes := takeCrashes(m); len(ends) != 2 || ends[0].Crash != work.PossibleCrash || len(crashes) > 0 {
+		t.Errorf("ends %+v, crashes %+v, want two possible ones", ends, crashes)
+	}
+	m.SetWorker(3000*ms, Worker{ID: "w", Incarnation: 2})
+	if _, crashes := takeCrashes(m); len(crashes) != 1 || !slices.Equal(crashes[0].Runs, []work.RunID{listed, accepted}) {
+		t.Errorf("crashes %+v, want one of both runs", crashes)
+	}
+	m, _, _ = newCrashMachine(t)
+	m.LeasesExpired(1500 * ms)
+	m.ApplyStatus(2000*ms, WorkerStatus{RequestedAt: 1990 * ms})
+	m.SetWorker(3000*ms, Worker{ID: "w", Incarnation: 2})
+	if _, crashes := takeCrashes(m); len(crashes) != 1 || len(crashes[0].Runs) > 0 {
+		t.Errorf("crashes %+v, want one without the runs that ended before", crashes)
+	}
+}
+
+// Guards against an announced exit that is blamed on the runs.
+func TestAnnouncedExitIsNoCrash(t *testing.T) {
+	for name, leave := range map[string]func(m *Machine){
+		"draining":     func(m *Machine) { m.SetWorker(5*ms, Worker{ID: "w", Incarnation: 1, Leaving: true}) },
+		"deregistered": func(m *Machine) { m.WorkerLeaving() },
+	} {
+		m, _, _ := newCrashMachine(t)
+		leave(m)
+		m.WorkerExited(20*ms, 10*ms)
+		if ends, crashes := takeCrashes(m); len(crashes) > 0 || len(ends) != 2 || ends[0].Crash != work.NoCrash {
+			t.Errorf("%s: ends %+v, crashes %+v", name, ends, crashes)
+		}
+	}
+}
+
+// Guards against a crash that is blamed on nothing because another sidecar process has started
+// the runs.
+func TestCrashNamesRunsOfEarlierSidecar(t *testing.T) {
+	m := newMachine(4)
+	inherited := work.RunID{Task: work.TaskID{Job: "inherited"}, Attempt: 1}
+	m.ApplyStatus(2*ms, WorkerStatus{RequestedAt: ms, Running: []Progress{{Run: inherited}}})
+	m.WorkerExited(20*ms, 10*ms)
+	if _, crashes := takeCrashes(m); len(crashes) != 1 || !slices.Equal(crashes[0].Runs, []work.RunID{inherited}) {
+		t.Errorf("crashes %+v, want one of the inherited run", crashes)
+	}
+}
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -44,6 +44,8 @@
 	// Capacity bounds the sum of the resources of all active runs whenever a run
 	// starts.
 	Capacity work.Resources
+	// Leaving is true if the process has said that it will exit.
+	Leaving bool
 }
 
 // phase is the state of a run as far as the Machine knows it.
@@ -92,6 +94,10 @@
 	// listed is true once a status has listed the run or its end. restarted is true if the
 	// worker process has changed before that: either process may have received the start call.
 	listed, restarted bool
+	// exited is the worker process that has exited, if restarted is true.
+	exited Worker
+	// crash is reported with the end of the run.
+	crash work.Crash
 	// percent is the highest progress that the worker has reported. progressedAt is
 	// when percent last increased, or when the start was ordered or confirmed if
 	// that is later.
@@ -127,6 +133,10 @@
 	unknownRuns map[work.RunID]time.Duration
 	// statusKnown is true once the current worker process has reported a status.
 	statusKnown bool
+	// lapsedRuns are the runs whose leases have expired since the worker was last heard.
+	lapsedRuns []work.RunID
+	// crashed is the last worker process of which WorkerCrashed has told.
+	crashed processID
 
 	runs         map[work.RunID]*run
 	runsOfOwner  map[ident.Process]int // number of runs and rejections, by owner
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -110,8 +110,12 @@
 	if r.superseded {
 		outcome, reason = supersededOutcome(r.JobAgeMs, outcome), reasonSuperseded
 	}
+	if r.restarted && !r.listed && outcome == work.Lost {
+		r.setCrashed(r.exited)
+		m.recordCrash(r.exited, []work.RunID{r.Run})
+	}
 	if !r.ownerDropped {
-		e := wire.RunEnd{Run: r.Run, Outcome: outcome, Reason: reason}
+		e := wire.RunEnd{Run: r.Run, Outcome: outcome, Reason: reason, Crash: r.crash}
 		if r.startedAt > 0 {
 			e.RunMs = (now - r.startedAt).Milliseconds()
 		}
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -25,6 +25,9 @@
 	m.health = health{}
 }
 
+// WorkerLeaving records that the current worker process has said that it will exit.
+func (m *Machine) WorkerLeaving() { m.worker.Leaving = true }
+
 // WorkerExited records that the worker process has exited: a connection to it that was
 // requested at the time refusedAt was refused. The next process may have received a start
 // call that returned after that.
@@ -42,6 +45,8 @@
 func (m *Machine) LeasesExpired(now time.Duration) {
 	for _, r := range m.activeRuns() {
 		if r.confirmedAt > 0 {
+			r.crash = work.PossibleCrash
+			m.lapsedRuns = append(m.lapsedRuns, r.Run)
 			m.endRun(now, r, work.Lost, "the lease expired")
 		}
 	}
@@ -52,17 +57,23 @@
 // in flight may have reached the next worker process, which can have the same ID, so the
 // other runs stay active until a status shows whether the next process executes them.
 func (m *Machine) endIncarnation(now time.Duration, reason string, ended func(r *run) bool) {
+	crashed := m.mayHaveCrashed()
 	for _, r := range m.activeRuns() {
 		if ended(r) {
+			r.setCrashed(m.worker)
+			crashed = append(crashed, r.Run)
 			m.endRun(now, r, work.Lost, reason)
 			continue
 		}
-		r.restarted = true
+		if !r.restarted {
+			r.restarted, r.exited = true, m.worker
+		}
 		r.stopConfirmed = false // the next worker process may not have received the stop call
 		if r.stopOutcome == work.NotRun {
 			r.stopOutcome = work.Lost // the process that has exited may have executed the run
 		}
 	}
+	m.recordCrash(m.worker, crashed)
 }
 
 // SetWorkerAvailable sets whether the worker can accept new runs: the sidecar is in
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -85,7 +85,10 @@
 	Runs int
 	// NoRoomEnds is the number of runs that ended with work.NoRoom.
 	NoRoomEnds int
-	Elapsed    time.Duration
+	// CrashedRuns and PossiblyCrashedRuns are the numbers of runs that ended with a crash of
+	// their worker process, and of those that ended while nothing was heard of it.
+	CrashedRuns, PossiblyCrashedRuns int
+	Elapsed                          time.Duration
 	// LastOutcome, LastReason and LastWorker describe the newest end of a run whose
 	// outcome is neither work.Done nor work.NoRoom.
 	LastOutcome work.Outcome
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -95,6 +95,12 @@
 	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom { // after work.Outdated, an earlier submission may have run
 		j.mayHaveRun = true
 	}
+	switch e.Crash {
+	case work.Crashed:
+		j.stats.CrashedRuns++
+	case work.PossibleCrash:
+		j.stats.PossiblyCrashedRuns++
+	}
 	if j.answered {
 		m.removeIfEnded(j)
 		return
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -93,10 +93,15 @@
 		Meaning: "A message about runs or a worker was ignored because it is of an earlier state: an entry instance got a report of an earlier session of a sidecar or one that it had handled before, or a sidecar a report or deregistration of an earlier process of its worker.",
 		Action:  "None after a restart, a pause or a network interruption; otherwise check the clocks of the worker's machine.",
 	}
+	WorkerCrashed = &Event{
+		Number: 8019, Severity: Warning, Name: "worker crashed",
+		Meaning: "A worker process exited although it had not said that it would. `tasks` names the runs that may have been at work there, each as job/step/task#attempt; one of them may be the cause. A second line with the same `born` names runs whose start was in flight.",
+		Action:  "Look for a task that several of these events name: `cardamomctl trace` with the id of its job. If none is named twice, inspect the backend server.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
 	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
-	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored,
+	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored, WorkerCrashed,
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -55,7 +55,7 @@
 	} else {
 		r.supervisor.setReportedClock(now, report.ClockMs)
 	}
-	r.machine.SetWorker(now, occupancy.Worker{ID: report.ID, Incarnation: report.Incarnation, Capacity: report.Capacity})
+	r.machine.SetWorker(now, occupancy.Worker{ID: report.ID, Incarnation: report.Incarnation, Capacity: report.Capacity, Leaving: report.Draining})
 	if report.ID != old.ID || report.Incarnation != old.Incarnation || report.Draining != old.Draining {
 		event.LogRateLimited(event.WorkerChanged, "worker", report.ID, "born", report.Incarnation, "service", report.Service, "milliCPU", report.Capacity.MilliCPU,
 			"memoryMB", report.Capacity.MemoryMB, "draining", report.Draining, "before", old.ID)
@@ -79,6 +79,7 @@
 		return
 	}
 	r.workerLeft = true
+	r.machine.WorkerLeaving()
 	event.LogRateLimited(event.WorkerChanged, "worker", id, "left", true)
 	r.updateAvailability(now)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -253,6 +253,8 @@
 		}
 	case occupancy.ReportEnd:
 		r.reportEnd(a)
+	case occupancy.WorkerCrashed:
+		r.workerCrashed(a)
 	case occupancy.StopSettled:
 		event.LogRateLimited(event.RunStopped, "job", a.Run.Task.Job, "step", a.Run.Task.Step, "task", a.Run.Task.Index, "attempt", a.Run.Attempt,
 			"reason", a.Reason, "outcome", a.Outcome.String(), "ranMs", a.Ran.Milliseconds(), "settlingMs", a.Settling.Milliseconds(),
@@ -269,7 +271,7 @@
 	// counted, here and per job in the log entry about its answer.
 	if a.End.Outcome != work.Done && a.End.Outcome != work.NoRoom {
 		event.LogRateLimited(event.RunEndedBadly, "job", a.End.Run.Task.Job, "task", a.End.Run.Task.Index, "attempt", a.End.Run.Attempt,
-			"outcome", a.End.Outcome.String(), "reason", a.End.Reason, "runMs", a.End.RunMs, "worker", r.report.ID, "owner", a.Owner.Instance)
+			"outcome", a.End.Outcome.String(), "reason", a.End.Reason, "crash", a.End.Crash.String(), "runMs", a.End.RunMs, "worker", r.report.ID, "owner", a.Owner.Instance)
 	}
 	if o := r.owners[a.Owner]; o != nil {
 		o.pendingEnds = append(o.pendingEnds, a.End)
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -110,6 +110,9 @@
 	Reason string `msgpack:"w,omitempty"`
 	// RunMs is the time from the start to the end of the run in milliseconds.
 	RunMs int64 `msgpack:"m,omitempty"`
+	// Crash says whether the run ended with a crash of its worker process. Senders of earlier
+	// releases don't tell.
+	Crash work.Crash `msgpack:"c,omitempty"`
 }
 
 // EndBatch reports the ends of runs to their owner. The sidecar sends the ends
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -40,7 +40,7 @@
 		return errors.NotValidf("report of %d ends from %d", len(b.Ends), b.FirstEnd)
 	}
 	for i := range b.Ends {
-		if e := &b.Ends[i]; !e.Outcome.Valid() || !validMs(e.RunMs) {
+		if e := &b.Ends[i]; !e.Outcome.Valid() || !e.Crash.Valid() || !validMs(e.RunMs) {
 			return errors.NotValidf("end of run %+v: %v after %d ms", e.Run, e.Outcome, e.RunMs)
 		}
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -175,6 +175,33 @@
 	Superseded
 )
 
+// Crash says whether a run ended because its worker process crashed, which may be the fault
+// of the run.
+type Crash uint8
+
+// Values of Crash.
+const (
+	// NoCrash means that the worker process had not crashed, or that it had said before that
+	// it would exit.
+	NoCrash Crash = iota
+	// PossibleCrash means that the run ended while nothing was heard of the worker process.
+	PossibleCrash
+	// Crashed means that the worker process exited while the run may have been at work.
+	Crashed
+)
+
+// String returns the name of the value.
+func (c Crash) String() string {
+	names := [...]string{"no", "possible", "yes"}
+	if !c.Valid() {
+		return "unknown value " + strconv.Itoa(int(c))
+	}
+	return names[c]
+}
+
+// Valid reports whether c is one of the values. Messages may hold any number.
+func (c Crash) Valid() bool { return c <= Crashed }
+
 // String returns the outcome's name.
 func (o Outcome) String() string {
 	names := [...]string{"done", "failed", "not run", "lost", "stalled", "outdated", "no room", "superseded"}
