placement: a job fails when two workers have crashed under one of its tasks

Cause: an entry instance took a run that ended with the crash of its worker for any lost run, and started the task again at once, up to the deadline of the job. Only runs that the worker lists as failed counted against the attempts of the queue.

Change: the ends of runs say whether the worker had crashed under them (Crashed), whether it crashed and the run may not have started (UnknownStart), or whether nothing was heard of it since (SilentWorker). The entry instance counts the crashes by worker process (decision/crashes). After two the job fails.

--- /dev/null
+++ b/internal/decision/crashes/crashes.go
@@ -0,0 +1,172 @@
+// Package crashes remembers which tasks may have been at work on worker processes that have
+// crashed. A Table is the memory of an entry instance, and a Log holds the crashes that a
+// process has to tell others about. Neither does I/O; each must be used by one goroutine at a
+// time. Times are monotonic, since the start of the process or machine.
+package crashes
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// Retention is the time for which a crash is remembered. It is longer than callers wait for a
+// job, including submissions that repeat it.
+const Retention = 10 * time.Minute
+
+// MaxTasks bounds the tasks that a Table remembers. The tasks of the oldest crashes are
+// forgotten first.
+const MaxTasks = 8192
+
+// ID identifies a crash by the worker process that has crashed.
+type ID struct {
+	// Sidecar is the instance name of the sidecar beside the worker.
+	Sidecar string
+	// Incarnation is the start time of the worker process in Unix milliseconds.
+	Incarnation int64
+}
+
+// Record is a crash.
+type Record struct {
+	ID
+	// At is the time of the crash.
+	At time.Duration
+	// Tasks were at work on the worker. UnknownStarts may have been: it is not known whether
+	// their runs had started.
+	Tasks, UnknownStarts []work.TaskID
+}
+
+func (r *Record) empty() bool { return len(r.Tasks)+len(r.UnknownStarts) == 0 }
+
+// history is what is known of one task.
+type history struct {
+	// crashes are those under the task, and unknownStarts those of which it is not known
+	// whether the task had started.
+	crashes, unknownStarts []ID
+}
+
+// Table counts the crashes under each task.
+type Table struct {
+	tasks map[work.TaskID]*history
+	// jobs counts the tasks of each job in tasks.
+	jobs map[string]int
+	// records holds the added records, the oldest first.
+	records []Record
+	// hash is the exclusive or of the hashes of all crashes under all tasks.
+	hash uint64
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table {
+	return &Table{tasks: map[work.TaskID]*history{}, jobs: map[string]int{}}
+}
+
+// Add adds a record and returns the part of it that was not known, which is without tasks if
+// all was known or the record is too old.
+func (t *Table) Add(now time.Duration, r Record) Record {
+	t.forget(now)
+	added := Record{ID: r.ID, At: r.At}
+	if now-r.At > Retention {
+		return added
+	}
+	for _, task := range r.Tasks[:min(len(r.Tasks), MaxTasks)] {
+		if h := t.historyOf(task); !slices.Contains(h.crashes, r.ID) {
+			h.crashes = append(h.crashes, r.ID)
+			t.hash ^= hashOf(r.ID, task, true)
+			t.removeUnknownStart(h, r.ID, task)
+			added.Tasks = append(added.Tasks, task)
+		}
+	}
+	for _, task := range r.UnknownStarts[:min(len(r.UnknownStarts), MaxTasks)] {
+		if h := t.historyOf(task); !slices.Contains(h.crashes, r.ID) && !slices.Contains(h.unknownStarts, r.ID) {
+			h.unknownStarts = append(h.unknownStarts, r.ID)
+			t.hash ^= hashOf(r.ID, task, false)
+			added.UnknownStarts = append(added.UnknownStarts, task)
+		}
+	}
+	if !added.empty() {
+		t.records = append(t.records, added)
+	}
+	return added
+}
+
+// historyOf returns the history of a task, a new one if none is known. The caller adds a crash
+// to a new one.
+func (t *Table) historyOf(task work.TaskID) *history {
+	h := t.tasks[task]
+	if h == nil {
+		h = &history{}
+		t.tasks[task] = h
+		t.jobs[task.Job]++
+	}
+	return h
+}
+
+// forget removes the records that are older than Retention, and the oldest ones while there
+// are more than MaxTasks tasks.
+func (t *Table) forget(now time.Duration) {
+	for len(t.records) > 0 && (now-t.records[0].At > Retention || len(t.tasks) > MaxTasks) {
+		oldest := t.records[0]
+		t.records = t.records[1:]
+		for _, task := range slices.Concat(oldest.Tasks, oldest.UnknownStarts) {
+			t.remove(oldest.ID, task)
+		}
+	}
+}
+
+func (t *Table) remove(id ID, task work.TaskID) {
+	h := t.tasks[task]
+	if h == nil {
+		return
+	}
+	t.removeUnknownStart(h, id, task)
+	if i := slices.Index(h.crashes, id); i >= 0 {
+		h.crashes = slices.Delete(h.crashes, i, i+1)
+		t.hash ^= hashOf(id, task, true)
+	}
+	if len(h.crashes)+len(h.unknownStarts) > 0 {
+		return
+	}
+	delete(t.tasks, task)
+	if t.jobs[task.Job]--; t.jobs[task.Job] <= 0 {
+		delete(t.jobs, task.Job)
+	}
+}
+
+func (t *Table) removeUnknownStart(h *history, id ID, task work.TaskID) {
+	if i := slices.Index(h.unknownStarts, id); i >= 0 {
+		h.unknownStarts = slices.Delete(h.unknownStarts, i, i+1)
+		t.hash ^= hashOf(id, task, false)
+	}
+}
+
+// hashOf returns the hash of a crash under a task.
+func hashOf(id ID, task work.TaskID, started bool) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(id.Sidecar, "\x00", id.Incarnation, "\x00", task.Job, "\x00", task.Step, " ", task.Index, " ", started))
+}
+
+// Hash returns a hash of all that is remembered. Tables that remember the same have the same
+// hash, whatever the order of their records.
+func (t *Table) Hash() uint64 { return t.hash }
+
+// Count returns the number of crashes under a task, and that of further crashes of which it is
+// not known whether the task had started.
+func (t *Table) Count(task work.TaskID) (crashes, unknownStarts int) {
+	if h := t.tasks[task]; h != nil {
+		return len(h.crashes), len(h.unknownStarts)
+	}
+	return 0, 0
+}
+
+// KnowsJob reports whether any task of a job may have been at work during a crash.
+func (t *Table) KnowsJob(job string) bool { return t.jobs[job] > 0 }
+
+// Records returns the remembered records, the oldest first. The caller must not change them.
+func (t *Table) Records() []Record { return t.records }
+
+// Len returns the number of remembered tasks.
+func (t *Table) Len() int { return len(t.tasks) }
--- /dev/null
+++ b/internal/decision/crashes/crashes_test.go
@@ -0,0 +1,91 @@
+package crashes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+func task(job string) work.TaskID { return work.TaskID{Job: job} }
+
+func record(sidecar string, at time.Duration, jobs ...string) Record {
+	r := Record{ID: ID{Sidecar: sidecar, Incarnation: 1}, At: at}
+	for _, j := range jobs {
+		r.Tasks = append(r.Tasks, task(j))
+	}
+	return r
+}
+
+// Guards against a crash that counts twice because two processes tell of it.
+func TestCrashCountsOnce(t *testing.T) {
+	table := NewTable()
+	table.Add(0, record("a", 0, "x"))
+	if added := table.Add(time.Second, record("a", 0, "x", "y")); len(added.Tasks) != 1 || added.Tasks[0] != task("y") {
+		t.Errorf("added %+v, want y only", added)
+	}
+	table.Add(time.Second, record("b", 0, "x"))
+	if n, _ := table.Count(task("x")); n != 2 {
+		t.Errorf("%d crashes under x, want 2", n)
+	}
+}
+
+// Guards against a start before a crash that stays unknown after it has been confirmed.
+func TestUnknownStartIsConfirmed(t *testing.T) {
+	table := NewTable()
+	table.Add(0, Record{ID: ID{Sidecar: "a"}, UnknownStarts: []work.TaskID{task("x")}})
+	if n, unknown := table.Count(task("x")); n != 0 || unknown != 1 {
+		t.Errorf("%d crashes and %d unknown starts, want 0 and 1", n, unknown)
+	}
+	table.Add(0, Record{ID: ID{Sidecar: "a"}, Tasks: []work.TaskID{task("x")}})
+	table.Add(0, Record{ID: ID{Sidecar: "a"}, UnknownStarts: []work.TaskID{task("x")}})
+	if n, unknown := table.Count(task("x")); n != 1 || unknown != 0 {
+		t.Errorf("%d crashes and %d unknown starts, want 1 and 0", n, unknown)
+	}
+	direct := NewTable()
+	direct.Add(0, Record{ID: ID{Sidecar: "a"}, Tasks: []work.TaskID{task("x")}})
+	if direct.Hash() != table.Hash() {
+		t.Error("tables that remember the same have different hashes")
+	}
+}
+
+// Guards against a memory that grows without bound, or forgets the newest crashes first.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	for i := range 3 * MaxTasks {
+		table.Add(time.Duration(i), record(fmt.Sprint("s", i), time.Duration(i), fmt.Sprint("j", i)))
+	}
+	last := fmt.Sprint("j", 3*MaxTasks-1)
+	if table.Len() > MaxTasks+1 || !table.KnowsJob(last) || table.KnowsJob("j0") {
+		t.Errorf("%d tasks; newest known: %v, oldest known: %v", table.Len(), table.KnowsJob(last), table.KnowsJob("j0"))
+	}
+	table.Add(Retention+time.Hour, record("s", Retention+time.Hour, "new"))
+	only := NewTable()
+	only.Add(Retention+time.Hour, record("s", Retention+time.Hour, "new"))
+	if table.Hash() != only.Hash() {
+		t.Error("the hash includes forgotten tasks")
+	}
+	if table.Len() != 1 || len(table.jobs) != 1 {
+		t.Errorf("%d tasks of %d jobs after the retention, want 1", table.Len(), len(table.jobs))
+	}
+	if added := table.Add(Retention+time.Hour, record("t", 0, "old")); len(added.Tasks) > 0 {
+		t.Errorf("added %+v, which is too old", added)
+	}
+}
+
+// Guards against a receiver that misses a crash, or gets all of them with each message.
+func TestLogAfter(t *testing.T) {
+	var log Log
+	for i := range 100 {
+		log.Add(record(fmt.Sprint("s", i), time.Duration(i)))
+	}
+	for after, want := range map[uint64]int{0: maxLogRecords, 36: maxLogRecords, 40: 60, 99: 1, 100: 0, 200: 0} {
+		if list, newest := log.After(0, after); len(list) != want || newest != 100 {
+			t.Errorf("after %d: %d records up to %d, want %d up to 100", after, len(list), newest, want)
+		}
+	}
+	if list, _ := log.After(Retention+50, 0); len(list) != 50 {
+		t.Errorf("%d records, want the 50 that are not too old", len(list))
+	}
+}
--- a/internal/decision/occupancy/crash.go
+++ b/internal/decision/occupancy/crash.go
@@ -7,8 +7,8 @@
 // WorkerCrashed with the same process names its run.
 type WorkerCrashed struct {
 	Worker Worker
-	// Runs are the runs that may have been at work there.
-	Runs []work.RunID
+	// Runs were at work there, and UnknownStarts may have been.
+	Runs, UnknownStarts []work.RunID
 }
 
 func (WorkerCrashed) action() {}
@@ -21,27 +21,42 @@
 
 func (w Worker) process() processID { return processID{w.ID, w.Incarnation} }
 
-// recordCrash orders a WorkerCrashed for a worker process that has exited, unless the exit was
-// announced, or is known and no further run is concerned.
-func (m *Machine) recordCrash(exited Worker, runs []work.RunID) {
-	if exited.Leaving || exited.process() == (processID{}) || len(runs) == 0 && m.crashed == exited.process() {
+// recordCrash orders a WorkerCrashed, unless the exit was announced, or is known and no
+// further run is concerned.
+func (m *Machine) recordCrash(c WorkerCrashed) {
+	process := c.Worker.process()
+	if c.Worker.Leaving || process == (processID{}) || len(c.Runs)+len(c.UnknownStarts) == 0 && m.crashed == process {
 		return
 	}
-	m.crashed = exited.process()
-	m.actions = append(m.actions, WorkerCrashed{Worker: exited, Runs: runs})
+	m.crashed = process
+	m.actions = append(m.actions, c)
 }
 
 // setCrashed marks a run that ends because its worker process has exited.
-func (r *run) setCrashed(exited Worker) {
+func (r *run) setCrashed(exited Worker, crash work.Crash) {
 	if !exited.Leaving {
-		r.crash = work.Crashed
+		r.crash, r.crashedIncarnation = crash, exited.Incarnation
 	}
 }
 
-// mayHaveCrashed returns the runs, apart from the active ones, that may have been at work on
-// the worker process when it exited: those that an earlier sidecar process has started, and
+// hasStarted reports whether the worker has confirmed the start of a run.
+func (r *run) hasStarted() bool { return r.confirmedAt > 0 || r.listed }
+
+// addCrashed adds an active run that ends with its worker process to a crash.
+func (c *WorkerCrashed) addCrashed(r *run) {
+	if r.hasStarted() {
+		r.setCrashed(c.Worker, work.Crashed)
+		c.Runs = append(c.Runs, r.Run)
+		return
+	}
+	r.setCrashed(c.Worker, work.UnknownStart)
+	c.UnknownStarts = append(c.UnknownStarts, r.Run)
+}
+
+// takeUntrackedRuns returns the runs, apart from the active ones, that were at work when the
+// worker process was last heard: those that an earlier sidecar process has started, and
 // those whose leases have expired since the worker was last heard.
-func (m *Machine) mayHaveCrashed() []work.RunID {
+func (m *Machine) takeUntrackedRuns() []work.RunID {
 	runs := m.lapsedRuns
 	for id := range m.unknownRuns {
 		runs = append(runs, id)
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -96,8 +96,10 @@
 	listed, restarted bool
 	// exited is the worker process that has exited, if restarted is true.
 	exited Worker
-	// crash is reported with the end of the run.
-	crash work.Crash
+	// crash and crashedIncarnation are reported with the end of the run. They are set if the
+	// worker process has crashed or may have.
+	crash              work.Crash
+	crashedIncarnation int64
 	// percent is the highest progress that the worker has reported. progressedAt is
 	// when percent last increased, or when the start was ordered or confirmed if
 	// that is later.
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -45,7 +45,7 @@
 func (m *Machine) LeasesExpired(now time.Duration) {
 	for _, r := range m.activeRuns() {
 		if r.confirmedAt > 0 {
-			r.crash = work.PossibleCrash
+			r.crash, r.crashedIncarnation = work.SilentWorker, m.worker.Incarnation
 			m.lapsedRuns = append(m.lapsedRuns, r.Run)
 			m.endRun(now, r, work.Lost, "the lease expired")
 		}
@@ -57,11 +57,10 @@
 // in flight may have reached the next worker process, which can have the same ID, so the
 // other runs stay active until a status shows whether the next process executes them.
 func (m *Machine) endIncarnation(now time.Duration, reason string, ended func(r *run) bool) {
-	crashed := m.mayHaveCrashed()
+	crash := WorkerCrashed{Worker: m.worker, Runs: m.takeUntrackedRuns()}
 	for _, r := range m.activeRuns() {
 		if ended(r) {
-			r.setCrashed(m.worker)
-			crashed = append(crashed, r.Run)
+			crash.addCrashed(r)
 			m.endRun(now, r, work.Lost, reason)
 			continue
 		}
@@ -73,7 +72,7 @@
 			r.stopOutcome = work.Lost // the process that has exited may have executed the run
 		}
 	}
-	m.recordCrash(m.worker, crashed)
+	m.recordCrash(crash)
 }
 
 // SetWorkerAvailable sets whether the worker can accept new runs: the sidecar is in
--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -145,7 +145,7 @@
 		if t.worker != w {
 			continue // an earlier iteration answered the job and canceled this unsent run
 		}
-		m.endRun(now, t, wire.RunEnd{Run: t.runID(), Outcome: work.Lost, Reason: reason, Crash: work.PossibleCrash})
+		m.endRun(now, t, wire.RunEnd{Run: t.runID(), Outcome: work.Lost, Reason: reason, Crash: work.SilentWorker})
 	}
 }
 
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -27,12 +27,16 @@
 	// avoidedWorkers are the workers of earlier runs that failed, were lost, stalled
 	// or ended with work.NotRun.
 	avoidedWorkers []*worker
+	// silentWorkers are the workers of earlier runs that have not been heard since.
+	silentWorkers []silentWorker
 }
 
-func (t *task) runID() work.RunID {
-	return work.RunID{Task: work.TaskID{Job: t.job.spec.ID, Step: t.step, Index: t.index}, Attempt: t.attempt}
+func (t *task) id() work.TaskID {
+	return work.TaskID{Job: t.job.spec.ID, Step: t.step, Index: t.index}
 }
 
+func (t *task) runID() work.RunID { return work.RunID{Task: t.id(), Attempt: t.attempt} }
+
 // avoids reports whether the worker is one of avoidedWorkers, possibly with another
 // incarnation of its sidecar.
 func (t *task) avoids(w *worker) bool {
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -15,6 +15,7 @@
 	"math/rand"
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/crashes"
 	"github.com/cardamomturn/cardamomturn/internal/decision/estimate"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/indexedheap"
@@ -40,6 +41,9 @@
 	// last run for it, by which the worker has ended all runs of this entry instance,
 	// even if its sidecar has failed, because their leases have expired.
 	DefaultLeaseTimeout = 2 * time.Second
+	// DefaultMaxCrashes is the number of workers that may crash under a task before its job
+	// fails.
+	DefaultMaxCrashes = 2
 )
 
 // Config holds the settings of a Machine. Zero values select the defaults above.
@@ -52,6 +56,8 @@
 	// have ended. IsolationTimeout is the time without a message from any sidecar after which all
 	// jobs are abandoned.
 	HeartbeatTimeout, IdleTimeout, LeaseTimeout, IsolationTimeout time.Duration
+	// MaxCrashes is the number of workers that may crash under a task before its job fails.
+	MaxCrashes int
 }
 
 // Action is a request to the caller of the Machine, which does the I/O.
@@ -86,7 +92,7 @@
 	// NoRoomEnds is the number of runs that ended with work.NoRoom.
 	NoRoomEnds int
 	// CrashedRuns and PossiblyCrashedRuns are the numbers of runs that ended with a crash of
-	// their worker process, and of those that ended while nothing was heard of it.
+	// their worker process, and of those that may have.
 	CrashedRuns, PossiblyCrashedRuns int
 	Elapsed                          time.Duration
 	// LastOutcome, LastReason and LastWorker describe the newest end of a run whose
@@ -113,6 +119,10 @@
 	jobs            map[string]*job
 	// calibrations correct the declared run times, by queue.
 	calibrations map[string]*estimate.Calibration
+	// crashes remembers the crashes of workers, also those under the runs of other owners.
+	crashes *crashes.Table
+	// learned are the crashes for the next CrashesLearned.
+	learned []crashes.Record
 	// unanswered holds the jobs without an answer, the earliest deadline first.
 	unanswered indexedheap.Heap[*job]
 	waiting    []*job    // jobs with tasks to place later
@@ -142,7 +152,10 @@
 	if cfg.LeaseTimeout == 0 {
 		cfg.LeaseTimeout = DefaultLeaseTimeout
 	}
-	return &Machine{cfg: cfg, random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	if cfg.MaxCrashes == 0 {
+		cfg.MaxCrashes = DefaultMaxCrashes
+	}
+	return &Machine{cfg: cfg, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
 }
 
 // pool holds the workers of one service.
@@ -164,6 +177,10 @@
 		w.unsentRuns, w.unsentStops = nil, nil
 	}
 	m.unsent = m.unsent[:0]
+	if len(m.learned) > 0 {
+		m.actions = append(m.actions, CrashesLearned{m.learned})
+		m.learned = nil
+	}
 	actions := m.actions
 	m.actions = nil
 	return actions
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -95,12 +96,7 @@
 	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom { // after work.Outdated, an earlier submission may have run
 		j.mayHaveRun = true
 	}
-	switch e.Crash {
-	case work.Crashed:
-		j.stats.CrashedRuns++
-	case work.PossibleCrash:
-		j.stats.PossiblyCrashedRuns++
-	}
+	m.recordCrash(now, t, w, e)
 	if j.answered {
 		m.removeIfEnded(j)
 		return
@@ -172,7 +168,10 @@
 	if j.answered {
 		return
 	}
-	tasks := j.ready()
+	if m.endCrashingJob(now, j) {
+		return
+	}
+	tasks := slices.DeleteFunc(j.ready(), m.withheld)
 	if len(tasks) == 0 {
 		return
 	}
--- a/internal/decision/placement/submit.go
+++ b/internal/decision/placement/submit.go
@@ -52,6 +52,9 @@
 		return work.Answer{State: work.Unfinished, Reason: work.ReasonDuplicate}, false
 	}
 	j := newJob(now, spec, m.calibration(spec.Queue))
+	if a, ended := m.crashAnswer(j); ended {
+		return a, false
+	}
 	p := m.pools[spec.Service]
 	if p == nil || !p.hasUsableWorker() {
 		return refusal(work.ReasonNoWorker, noWorkerRetryAfter), false
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -99,6 +99,7 @@
 		w.acceptedRuns = true
 		m.endPredecessors(now, w)
 	}
+	m.settleSilentWorkers(now, info)
 	m.retryWaiting(now)
 	return ""
 }
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -95,13 +95,18 @@
 	}
 	WorkerCrashed = &Event{
 		Number: 8019, Severity: Warning, Name: "worker crashed",
-		Meaning: "A worker process exited although it had not said that it would. `tasks` names the runs that may have been at work there, each as job/step/task#attempt; one of them may be the cause. A second line with the same `born` names runs whose start was in flight.",
+		Meaning: "A worker process exited although it had not said that it would. `tasks` names the runs that were at work there, each as job/step/task#attempt, and `unknownTasks` those of which it is not known whether they had started; one of them may be the cause. A second line with the same `born` names runs whose start was in flight.",
 		Action:  "Look for a task that several of these events name: `cardamomctl trace` with the id of its job. If none is named twice, inspect the backend server.",
 	}
+	CrashLearned = &Event{
+		Number: 8020, Severity: Info, Name: "crash learned",
+		Meaning: "An entry instance heard of the crash of a worker process, from its sidecar, from the end of a run or from another entry instance, and remembers the tasks that were or may have been at work there.",
+		Action:  "None; E8019 of the sidecar names the tasks.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
 	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
-	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored, WorkerCrashed,
+	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored, WorkerCrashed, CrashLearned,
 }
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -113,6 +113,9 @@
 	// Crash says whether the run ended with a crash of its worker process. Senders of earlier
 	// releases don't tell.
 	Crash work.Crash `msgpack:"c,omitempty"`
+	// CrashedIncarnation is the start time of the worker process in Unix milliseconds, unless
+	// Crash is work.NoCrash. Zero means that it is unknown.
+	CrashedIncarnation int64 `msgpack:"p,omitempty"`
 }
 
 // EndBatch reports the ends of runs to their owner. The sidecar sends the ends
@@ -150,6 +153,9 @@
 	// rejects calls with a lower token than it has seen, so a later incarnation of a
 	// sidecar has a higher one.
 	FencingToken int64 `msgpack:"f,omitempty"`
+	// Incarnation is the start time of the worker process in Unix milliseconds, zero if it is
+	// unknown.
+	Incarnation int64 `msgpack:"b,omitempty"`
 }
 
 // RunnerHeartbeat is the heartbeat of a sidecar to an entry instance.
@@ -166,6 +172,8 @@
 	// NoReply is true if there is none yet. Senders of earlier releases set neither.
 	Receiver ident.Process `msgpack:"e,omitempty"`
 	NoReply  bool          `msgpack:"y,omitempty"`
+	// Crashes are the crashes of the worker that the receiver has not confirmed yet.
+	Crashes []CrashRecord `msgpack:"c,omitempty"`
 }
 
 // Confirmed reports whether the sender was alive after an earlier heartbeat of it had reached
@@ -193,6 +201,11 @@
 	// MembersHash is the hash of the receiver's list of members that the sender
 	// holds.
 	MembersHash uint64 `msgpack:"h,omitempty"`
+	// Crashes are crashes of which the sender has heard since its last round of exchanges.
+	Crashes []CrashRecord `msgpack:"c,omitempty"`
+	// CrashesHash is the hash of the crashes that the sender remembers. Senders of earlier
+	// releases remember none.
+	CrashesHash uint64 `msgpack:"a,omitempty"`
 }
 
 // ConfigExchangeReply is the reply to a ConfigExchangeRequest.
@@ -205,4 +218,7 @@
 	// Members and MembersHash are as in RunnerHeartbeatReply.
 	Members     []Peer `msgpack:"l,omitempty"`
 	MembersHash uint64 `msgpack:"h,omitempty"`
+	// Crashes are the newest crashes that the sender remembers, unless it remembers the same
+	// as the sender of the request.
+	Crashes []CrashRecord `msgpack:"c,omitempty"`
 }
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -55,9 +55,18 @@
 	if h.Session > maxCounter {
 		return errors.NotValidf("heartbeat of session %d", h.Session)
 	}
+	if err := validateCrashes(h.Crashes); err != nil {
+		return err
+	}
 	return h.Load.Validate()
 }
 
+// Validate checks the values of a request. Errors satisfy errors.IsNotValid.
+func (r *ConfigExchangeRequest) Validate() error { return validateCrashes(r.Crashes) }
+
+// ValidateCrashes checks the crashes in a reply. Errors satisfy errors.IsNotValid.
+func (r *ConfigExchangeReply) ValidateCrashes() error { return validateCrashes(r.Crashes) }
+
 // Validate checks the values of a reply to a heartbeat, except the list of members. Errors
 // satisfy errors.IsNotValid.
 func (r *RunnerHeartbeatReply) Validate() error {
@@ -98,6 +107,6 @@
 // validClock reports whether a clock that starts with a machine can show a time.
 func validClock(ms int64) bool { return ms >= -100*maxMs && ms <= 100*maxMs }
 
-func validRun(r work.RunID) bool {
-	return r.Task.Job != "" && r.Task.Step >= 0 && r.Task.Index >= 0 && r.Attempt > 0
-}
+func validRun(r work.RunID) bool { return validTask(r.Task) && r.Attempt > 0 }
+
+func validTask(t work.TaskID) bool { return t.Job != "" && t.Step >= 0 && t.Index >= 0 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -83,7 +83,8 @@
 const (
 	// Completed means that each task has succeeded.
 	Completed State = iota
-	// Failed means that a task has reached MaxFailedRuns.
+	// Failed means that a task has reached MaxFailedRuns, or that too many workers have
+	// crashed under it.
 	Failed
 	// Refused means that no task has run and none will run.
 	Refused
@@ -121,6 +122,7 @@
 	ReasonStopping      Reason = "process stops"
 	ReasonOutOfContact  Reason = "instance was paused or cut off"
 	ReasonSuperseded    Reason = "submitted again elsewhere"
+	ReasonCrashes       Reason = "workers crash under a task"
 )
 
 // Answer is the final answer to a job.
@@ -184,15 +186,19 @@
 	// NoCrash means that the worker process had not crashed, or that it had said before that
 	// it would exit.
 	NoCrash Crash = iota
-	// PossibleCrash means that the run ended while nothing was heard of the worker process.
-	PossibleCrash
-	// Crashed means that the worker process exited while the run may have been at work.
+	// SilentWorker means that nothing has been heard of the worker process since the run was
+	// at work.
+	SilentWorker
+	// UnknownStart means that the worker process crashed, and that it is not known whether the
+	// run had started.
+	UnknownStart
+	// Crashed means that the run was at work when the worker process crashed.
 	Crashed
 )
 
 // String returns the name of the value.
 func (c Crash) String() string {
-	names := [...]string{"no", "possible", "yes"}
+	names := [...]string{"no", "silent worker", "unknown start", "yes"}
 	if !c.Valid() {
 		return "unknown value " + strconv.Itoa(int(c))
 	}
