runner, broker: crashes are told to every entry instance, and outlive the one that counts them

Cause: the count of crashes lived in the job, in the one entry instance that owned it.

Change: the sidecar, which outlives its worker, tells each entry instance to which it is attached of a crash, at once and with the heartbeat that it sends anyway, until that is confirmed, and again if another process of the entry instance answers. Entry instances pass crashes on in their next two rounds of exchanges, and send the newest ones to a peer whose hash of all that it remembers differs: so a new instance, or one that is not attached to the sidecar, hears of them.

Cost: no message more per worker, start or idle peer.

Ruled out: a count in the request of the caller (best-effort jobs have none), a record in the store for each crash (a write on the path of the answer, and none while the store is down).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/crashes"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/placement"
 	"github.com/cardamomturn/cardamomturn/internal/event"
@@ -63,12 +64,15 @@
 	peers       map[string]*peer // by address
 	// peerCycle holds the peers whose turn in the current cycle of exchanges has not
 	// come yet.
-	peerCycle   []*peer
-	members     memberList
-	pulling     bool // a configuration is read from a peer, or will be soon
-	nextTick    time.Duration
-	loggedReady bool // the readiness in the last log entry about it
-	tickTimer   *time.Timer
+	peerCycle []*peer
+	members   memberList
+	// untold are the crashes for the peers of the next two rounds of exchanges, and toldOnce
+	// those for the peers of the next one.
+	untold, toldOnce []crashes.Record
+	pulling          bool // a configuration is read from a peer, or will be soon
+	nextTick         time.Duration
+	loggedReady      bool // the readiness in the last log entry about it
+	tickTimer        *time.Timer
 
 	// announce ends the delay before the next round of exchanges.
 	announce chan struct{}
@@ -218,6 +222,8 @@
 			b.enqueueBatch(now, a)
 		case placement.JobAnswer:
 			b.deliverAnswer(a)
+		case placement.CrashesLearned:
+			b.tellPeers(a.Records)
 		}
 	}
 	b.scheduleTick(now, next)
--- a/internal/broker/peer.go
+++ b/internal/broker/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/crashes"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -46,6 +47,8 @@
 	// lastReply is the time of the last reply, zero before the first one, and
 	// failingSince the time of the first failed exchange after it, zero if none failed.
 	lastReply, failingSince time.Time
+	// untold are the crashes for the next exchange.
+	untold []crashes.Record
 	// membersHash is the hash of the last list of members that the peer has sent.
 	membersHash uint64
 }
@@ -63,7 +66,10 @@
 
 // ConfigChanged announces a new configuration to some peers at once. They announce it to
 // others when they have it.
-func (b *Broker) ConfigChanged() {
+func (b *Broker) ConfigChanged() { b.startRound() }
+
+// startRound ends the delay before the next round of exchanges.
+func (b *Broker) startRound() {
 	select {
 	case b.announce <- struct{}{}:
 	default:
@@ -88,7 +94,9 @@
 	for b.ctx.Err() == nil {
 		b.mu.Lock()
 		b.updateMembers()
+		untold := b.nextUntold()
 		for _, p := range b.nextPeers(time.Now()) {
+			p.untold = untold
 			b.startExchange(p)
 		}
 		b.mu.Unlock()
@@ -169,10 +177,15 @@
 // if that is newer.
 func (b *Broker) exchange(p *peer) {
 	b.mu.Lock()
-	req := wire.ConfigExchangeRequest{From: b.self, Version: b.config.Version(), MembersHash: p.membersHash}
+	req := wire.ConfigExchangeRequest{From: b.self, Version: b.config.Version(), MembersHash: p.membersHash,
+		Crashes: wire.NewCrashRecords(clock.SinceBoot(), p.untold), CrashesHash: b.machine.CrashesHash()}
+	p.untold = nil
 	b.mu.Unlock()
 	var reply wire.ConfigExchangeReply
 	err := p.rpcClient.CallWithTimeout(b.ctx, callTimeout, wire.ServiceBroker+".Config", &req, &reply)
+	if err == nil {
+		err = reply.ValidateCrashes()
+	}
 	if err == nil && len(reply.Config) > 0 {
 		b.config.ApplyEncoded(reply.Config, p.member.Address)
 	}
@@ -183,6 +196,10 @@
 		b.exchangeFailed(p, err)
 		return
 	}
+	if now := clock.SinceBoot(); len(reply.Crashes) > 0 {
+		b.recordCrashes(now, reply.Crashes)
+		b.runMachine(now)
+	}
 	isNew := p.lastReply.IsZero()
 	p.lastReply, p.failingSince, p.retryAt, p.retryDelay = time.Now(), time.Time{}, time.Time{}, exchangeInterval
 	if len(reply.Members) > 0 {
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -214,6 +214,7 @@
 	c := b.clientOf(req.Info.Sidecar)
 	c.lastMessage = now
 	c.noteClock(now, &req.Load)
+	b.recordCrashes(now, req.Crashes)
 	if reason := b.machine.Heartbeat(now, req.Info, req.Session, req.Load, req.Confirmed(b.self.Process)); reason != "" {
 		event.LogRateLimited(event.HeartbeatIgnored, "sidecar", req.Info.Sidecar.Process.String(), "worker", req.Info.Worker, "reason", reason,
 			"session", req.Session, "fencingToken", req.Info.FencingToken)
@@ -255,9 +256,17 @@
 // Config handles a configuration exchange that a peer starts.
 func (s *rpcService) Config(req *wire.ConfigExchangeRequest, reply *wire.ConfigExchangeReply) error {
 	b := s.broker
+	if err := req.Validate(); err != nil {
+		return rejectMessage(req.From.Process, err)
+	}
 	reply.Version, reply.Config = b.configNewerThan(req.Version)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now := clock.SinceBoot(); len(req.Crashes) > 0 {
+		b.recordCrashes(now, req.Crashes)
+		b.runMachine(now)
+	}
+	reply.Crashes = b.crashesUnless(req.CrashesHash)
 	b.addPeer(req.From)
 	if req.Version > reply.Version {
 		b.pullFrom(req.From.Address)
--- a/internal/runner/attachments_test.go
+++ b/internal/runner/attachments_test.go
@@ -19,9 +19,13 @@
 	members []wire.Peer
 	servers []*rpcnet.Server
 
-	mu sync.Mutex // guards the field below
-	// last is the newest heartbeat, by the index of the receiver.
-	last map[int]wire.RunnerHeartbeat
+	mu sync.Mutex // guards the fields below
+	// last is the newest heartbeat, and crashes are those in all heartbeats, by the index of
+	// the receiver.
+	last    map[int]wire.RunnerHeartbeat
+	crashes map[int][]wire.CrashRecord
+	// restarts counts the restarts of each entry instance.
+	restarts map[int]uint64
 }
 
 // fakeBroker is the RPC service of one entry instance.
@@ -35,7 +39,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.last[b.index] = *req
-	reply.Entry = ident.Process{Instance: e.members[b.index].Process.Instance, Incarnation: 1}
+	e.crashes[b.index] = append(e.crashes[b.index], req.Crashes...)
+	reply.Entry = ident.Process{Instance: e.members[b.index].Process.Instance, Incarnation: 1 + e.restarts[b.index]}
 	const hash = 5
 	if reply.MembersHash = hash; req.MembersHash != hash {
 		reply.Members = e.members
@@ -44,7 +49,7 @@
 }
 
 func newFakeEntries(t *testing.T, n int) *fakeEntries {
-	e := &fakeEntries{t: t, last: map[int]wire.RunnerHeartbeat{}}
+	e := &fakeEntries{t: t, last: map[int]wire.RunnerHeartbeat{}, crashes: map[int][]wire.CrashRecord{}, restarts: map[int]uint64{}}
 	listeners := make([]net.Listener, n)
 	for i := range n {
 		lis, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -3,18 +3,38 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/crashes"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// workerCrashed logs and counts the crash of a worker process; mu is held.
-func (r *Runner) workerCrashed(a occupancy.WorkerCrashed) {
-	event.LogRateLimited(event.WorkerCrashed, "worker", a.Worker.ID, "born", a.Worker.Incarnation, "runs", len(a.Runs), "tasks", taskNames(a.Runs))
+// workerCrashed logs and counts the crash of a worker process, and tells the entry instances
+// at once; mu is held.
+func (r *Runner) workerCrashed(now time.Duration, a occupancy.WorkerCrashed) {
+	event.LogRateLimited(event.WorkerCrashed, "worker", a.Worker.ID, "born", a.Worker.Incarnation, "runs", len(a.Runs), "unknownStarts", len(a.UnknownStarts),
+		"tasks", taskNames(a.Runs), "unknownTasks", taskNames(a.UnknownStarts))
 	if r.metrics != nil {
 		r.metrics.Scope().Counter("worker_crashes").Inc(1)
 	}
+	if len(a.Runs)+len(a.UnknownStarts) == 0 {
+		return
+	}
+	r.crashes.Add(crashes.Record{ID: crashes.ID{Sidecar: r.self.Process.Instance, Incarnation: a.Worker.Incarnation}, At: now,
+		Tasks: tasksOf(a.Runs), UnknownStarts: tasksOf(a.UnknownStarts)})
+	for _, c := range r.entries {
+		c.wake()
+	}
+}
+
+func tasksOf(runs []work.RunID) []work.TaskID {
+	var tasks []work.TaskID
+	for _, run := range runs {
+		tasks = append(tasks, run.Task)
+	}
+	return tasks
 }
 
 // maxLoggedTasks bounds the number of tasks that one log line names.
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -29,6 +29,8 @@
 	// answered. After a failure, the next one is sent at retryAt at the earliest, and
 	// retryDelay is the delay to which retryAt was set.
 	failingSince, retryAt, retryDelay time.Duration
+	// confirmedCrashes is the number of the newest of Runner.crashes of which owner has heard.
+	confirmedCrashes uint64
 	// unwanted is true if the sidecar detaches from the entry instance, which is then
 	// told that the worker accepts no runs.
 	unwanted bool
@@ -143,6 +145,8 @@
 	if o != nil {
 		req.Session, req.Receiver = o.Session(), o.process
 	}
+	unconfirmed, newestCrash := r.crashes.After(sentAt, c.confirmedCrashes)
+	req.Crashes = wire.NewCrashRecords(sentAt, unconfirmed)
 	detaching := c.unwanted && (o == nil || !o.busy())
 	r.updateGauges(&req.Load)
 	r.runMachineAndUnlock(sentAt)
@@ -153,6 +157,9 @@
 	if err == nil {
 		err = c.handleReply(now, sentAt, req.Session, &reply)
 	}
+	if err == nil && o == c.owner { // the process that has replied had those up to the confirmed one
+		c.confirmedCrashes = max(c.confirmedCrashes, newestCrash)
+	}
 	if err != nil {
 		c.handleFailure(now, err)
 	}
@@ -203,9 +210,6 @@
 		return err
 	}
 	r := c.runner
-	if c.owner == nil {
-		c.wake() // the entry instance may know an earlier process and wait for a heartbeat that names it
-	}
 	if c.owner == nil || c.owner.process != reply.Entry {
 		if c.owner != nil {
 			r.dropOwner(now, c.owner, "another process answers", 0)
@@ -220,6 +224,10 @@
 		}
 		o.client = c
 		c.owner = o
+		c.confirmedCrashes = 0
+		// The entry instance may know an earlier process of this sidecar and wait for a
+		// heartbeat that names it, and it has not heard of earlier crashes.
+		c.wake()
 	}
 	o := c.owner
 	if o.Session() != session {
@@ -265,6 +273,7 @@
 	}
 	if !r.workerLeft {
 		info.Worker, info.Service, info.Rack, info.Labels = r.report.ID, r.report.Service, r.report.Rack, r.report.Labels
+		info.Incarnation = r.report.Incarnation
 	}
 	return info
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/crashes"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
 	"github.com/cardamomturn/cardamomturn/internal/event"
@@ -89,6 +90,8 @@
 	// exitedIncarnations are the newest of the worker incarnations that others have followed.
 	exitedIncarnations []int64
 	owners             map[ident.Process]*owner
+	// crashes holds the crashes of the worker, for the entry instances.
+	crashes crashes.Log
 	// seeds are the addresses that AddEntry has added, and entries the clients of the
 	// entry instances to which this sidecar attaches, by address.
 	seeds       map[string]bool
@@ -254,7 +257,7 @@
 	case occupancy.ReportEnd:
 		r.reportEnd(a)
 	case occupancy.WorkerCrashed:
-		r.workerCrashed(a)
+		r.workerCrashed(now, a)
 	case occupancy.StopSettled:
 		event.LogRateLimited(event.RunStopped, "job", a.Run.Task.Job, "step", a.Run.Task.Step, "task", a.Run.Task.Index, "attempt", a.Run.Attempt,
 			"reason", a.Reason, "outcome", a.Outcome.String(), "ranMs", a.Ran.Milliseconds(), "settlingMs", a.Settling.Milliseconds(),
