soak: jobs that crash workers, and the kill of their entry instance between a crash and the next start

The checks: no task is started three times after the third crash; a job is called failed only if a task of it has failed as often as its queue allows, or two workers have crashed under it.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -20,6 +20,8 @@
 	// refused is true if each submission was refused, and completed is true if an
 	// answer reported the job as completed.
 	refused, completed bool
+	// failed is true if an answer reported the job as failed.
+	failed bool
 }
 
 // runCaller submits jobs as one caller until ctx ends. After status 502 or 504, or
@@ -31,8 +33,13 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		o := outcome{id: fmt.Sprintf("%08x%08x", caller+1, n), tasks: 1 + rnd.Intn(4), refused: true}
 		task := standin.Task{RunMs: 20 + rnd.Int63n(200), MilliCPU: 300 + rnd.Int63n(700), Fails: rnd.Intn(50) == 0}
-		for range maxAttempts {
-			status, body := s.submit(client, rnd.Intn(s.options.Entries), fmt.Sprintf("/q%d/%s", rnd.Intn(3), o.id), o.tasks, task)
+		if s.options.Crashing > 0 { // without a draw, seeds keep their meaning
+			task.Crashes = rnd.Float64() < s.options.Crashing
+		}
+		for range s.options.Submissions {
+			entry := rnd.Intn(s.options.Entries)
+			s.owners.set(o.id, entry)
+			status, body := s.submit(client, entry, fmt.Sprintf("/q%d/%s", rnd.Intn(3), o.id), o.tasks, task)
 			r.countAnswer(fmt.Sprint(status))
 			if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
 				o.refused = false
@@ -40,6 +47,7 @@
 			if status == http.StatusOK && strings.Contains(body, "completed") {
 				o.completed = true
 			}
+			o.failed = o.failed || status == http.StatusOK && strings.Contains(body, "failed")
 			if status != 0 && status != http.StatusGatewayTimeout && status != http.StatusBadGateway {
 				break
 			}
@@ -53,14 +61,14 @@
 // submit submits a job and returns the status and the body of the answer. The status
 // is zero if there is no answer.
 func (s *system) submit(client *http.Client, entry int, path string, tasks int, task standin.Task) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.Deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.address(entryHost+entry, callerPort)+path, bytes.NewReader(standin.JobBody(tasks, task)))
 	if err != nil {
 		panic(err) // the address is well formed
 	}
 	req.Host = httpHost
-	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(callerTimeout.Milliseconds()))
+	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(s.options.Deadline.Milliseconds()))
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, ""
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -90,7 +90,7 @@
 
 // checkTaskRuns compares the task runs that the workers recorded with the outcomes that
 // the callers received.
-func (s *system) checkTaskRuns(r *report, outcomes <-chan outcome) {
+func (s *system) checkTaskRuns(r *report, outcomes []outcome) {
 	completed, started := map[string]bool{}, map[string]bool{}
 	for _, w := range s.workers {
 		list, excess := w.History()
@@ -108,7 +108,7 @@
 	for _, o := range standin.OverlappingRuns(s.workers) {
 		r.violation("two runs at once: %s", o)
 	}
-	for o := range outcomes {
+	for _, o := range outcomes {
 		if o.refused && started[o.id] {
 			r.violation("job %s was refused and has run", o.id)
 		}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -20,6 +20,10 @@
 	flag.DurationVar(&o.For, "for", 30*time.Second, "length of the run, without start and recovery")
 	flag.IntVar(&o.Workers, "workers", 4, fmt.Sprintf("number of workers, 1 to %d", maxWorkers))
 	flag.IntVar(&o.Entries, "entries", 3, fmt.Sprintf("number of entry instances, 1 to %d", maxEntries))
+	flag.Float64Var(&o.Crashing, "crashing", 0, "share of the jobs whose tasks crash the workers that run them, 0 to 1")
+	flag.Float64Var(&o.KillOwners, "kill-owners", 0, "share of these crashes after which the entry instance of the job is killed, 0 to 1")
+	flag.DurationVar(&o.Deadline, "deadline", 1500*time.Millisecond, "time for which callers wait for an answer")
+	flag.IntVar(&o.Submissions, "submissions", 3, "number of times that a caller without an answer submits a job")
 	flag.StringVar(&o.Binary, "binary", "", "program to run; empty builds it")
 	flag.StringVar(&o.JSON, "json", "", "file for the report as JSON")
 	flag.StringVar(&o.Logs, "logs", "", "directory for the logs of the processes; empty keeps none")
@@ -52,8 +56,13 @@
 	Seed             int64
 	For              time.Duration
 	Workers, Entries int
-	Binary           string `json:"-"`
-	JSON, Logs       string `json:"-"`
+	// Crashing is the share of the jobs whose tasks crash their workers, and KillOwners that of
+	// the crashes after which the entry instance of the job is killed.
+	Crashing, KillOwners float64
+	Deadline             time.Duration
+	Submissions          int
+	Binary               string `json:"-"`
+	JSON, Logs           string `json:"-"`
 }
 
 // scale is the size of the run, at least 1, as a multiple of a small one. The load and the
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -15,11 +15,9 @@
 const (
 	callerCount     = 16
 	maxActiveFaults = 3
-	callerTimeout   = 1500 * time.Millisecond
 	resubmitDelay   = 1300 * time.Millisecond
 	recoveryTime    = 12 * time.Second
 	applyTimeout    = 7 * time.Second // allows for faults of the store
-	maxAttempts     = 3
 	readyTimeout    = 15 * time.Second
 	finalJobs       = 20
 )
@@ -32,9 +30,11 @@
 
 // report is the result of a run.
 type report struct {
-	Options    options         `json:"options"`
-	Answers    map[string]int  `json:"answers"`
-	Runs       map[string]int  `json:"runs"`
+	Options options        `json:"options"`
+	Answers map[string]int `json:"answers"`
+	Runs    map[string]int `json:"runs"`
+	// Chains counts the tasks that crashed workers, by the number of these workers.
+	Chains     map[int]int     `json:"chains"`
 	Starts     int             `json:"processStarts"`
 	Timeline   []timelineEntry `json:"timeline"`
 	Violations []string        `json:"violations"`
@@ -67,7 +67,7 @@
 	for _, m := range r.Timeline {
 		fmt.Fprintf(w, "%10s  %s\n", m.At, m.What)
 	}
-	fmt.Fprintf(w, "seed %d: answers %v, runs %v, %d process starts, %d violations\n", r.Options.Seed, r.Answers, r.Runs, r.Starts, len(r.Violations))
+	fmt.Fprintf(w, "seed %d: answers %v, runs %v, tasks by workers crashed %v, %d process starts, %d violations\n", r.Options.Seed, r.Answers, r.Runs, r.Chains, r.Starts, len(r.Violations))
 }
 
 // run starts the processes, injects faults under load and returns the report.
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	defer s.close()
-	r := &report{Options: o, Answers: map[string]int{}, Runs: map[string]int{}, begin: time.Now(), Violations: []string{}}
+	r := &report{Options: o, Answers: map[string]int{}, Runs: map[string]int{}, Chains: map[int]int{}, begin: time.Now(), Violations: []string{}}
 	if !s.awaitReady(readyTimeout) {
 		return nil, errors.New("not all entry instances became ready in time")
 	}
@@ -99,7 +99,12 @@
 	close(outcomes)
 	s.checkConfiguration(r)
 	s.checkServed(ctx, r)
-	s.checkTaskRuns(r, outcomes)
+	var all []outcome
+	for o := range outcomes {
+		all = append(all, o)
+	}
+	s.checkTaskRuns(r, all)
+	s.checkCrashes(r, all)
 	for _, p := range s.processes {
 		p.mu.Lock()
 		r.Starts += p.starts
--- a/test/soak/system.go
+++ b/test/soak/system.go
@@ -45,6 +45,7 @@
 	workerMilliCPU = 4000
 	httpHost       = "soak.example"
 	shutdownGrace  = 3 * time.Second
+	queueAttempts  = 3
 )
 
 // system is the system under test: the processes, proxies, workers and the store that
@@ -58,6 +59,7 @@
 	workers    []*standin.Worker
 	processes  []*process // entry instances first, then sidecars
 	proxies    []*proxy   // in front of the internal ports, in the same order
+	owners     owners
 	stop       context.CancelFunc
 	wg         sync.WaitGroup
 
@@ -118,7 +120,7 @@
 	defer s.mu.Unlock()
 	s.version += 2
 	s.prefixes = prefixes
-	s.store.Configure(s.version, httpHost, "svc", 3, prefixes)
+	s.store.Configure(s.version, httpHost, "svc", queueAttempts, prefixes)
 }
 
 func (s *system) processSettings(name string, host int) settings.PlatformProcess {
@@ -164,6 +166,7 @@
 func (s *system) startWorker(ctx context.Context, i int) error {
 	h := sidecarHost + i
 	w := &standin.Worker{ID: fmt.Sprint("w-", i), Service: "svc", MilliCPU: workerMilliCPU, MemoryMB: 1 << 14, Labels: []string{"a"}}
+	w.OnCrash = func(task string) { s.workerCrashed(ctx, w, h, task) }
 	if err := w.Start(s.address(h, workerPort)); err != nil {
 		return err
 	}
