occupancy: a queued run that no longer fits the worker is returned at once

What callers saw: nothing yet. When the capacity of a worker shrinks below what its first queued run needs, that run and all behind it waited until its time was over, while the worker had room for them (TestQueuedRunBeyondShrunkCapacity, which fails before this commit).

Cause: only new runs were compared with the capacity. Change: so are the queued ones when a report changes it. Ruled out: the running ones; they stay, and no start is made until they fit.

--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -27,7 +27,7 @@
 		m.byTask[q.Run.Task] = append(m.byTask[q.Run.Task], r)
 		m.queue.push(r)
 		if !q.Need.FitsIn(m.worker.Capacity) {
-			m.endRun(now, r, work.NotRun, "needs more than the worker's capacity")
+			m.endRun(now, r, work.NotRun, reasonTooLarge)
 		}
 	}
 	m.startOrReturnQueued(now)
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -1,6 +1,7 @@
 package occupancy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/work"
@@ -14,6 +15,7 @@
 	if m.worker.Incarnation == w.Incarnation && (m.worker.ID == w.ID || idLearned) {
 		if m.worker != w {
 			m.worker = w
+			m.returnTooLarge(now)
 			m.startQueued(now)
 		}
 		return
@@ -25,6 +27,17 @@
 	m.health = health{}
 }
 
+// returnTooLarge returns the queued runs that need more than the worker's capacity.
+func (m *Machine) returnTooLarge(now time.Duration) {
+	for _, r := range slices.Clone(m.queue.runs) {
+		if !r.Need.FitsIn(m.worker.Capacity) {
+			m.endRun(now, r, work.NotRun, reasonTooLarge)
+		}
+	}
+}
+
+const reasonTooLarge = "needs more than the worker's capacity"
+
 // WorkerLeaving records that the current worker process has said that it will exit.
 func (m *Machine) WorkerLeaving() { m.worker.Leaving = true }
 
