occupancy: the load summary of an overused worker counts what has to end first

A worker whose runs exceed its shrunk capacity reported no free room and nothing queued, so entry instances expected room as soon as any of its runs ended, and admitted jobs that could not start in time (TestLoadOfOverusedWorker, which fails before).

Change: the excess counts as queued before all ranks, and a changed capacity is told to the entry instances at once, not with the next heartbeat (1 s for an idle pair).

--- a/internal/decision/occupancy/capacity_test.go
+++ b/internal/decision/occupancy/capacity_test.go
@@ -27,3 +27,18 @@
 		t.Errorf("starts %+v, want the small run", starts)
 	}
 }
+
+// Guards against a worker whose runs exceed its shrunk capacity and that seems to have room as
+// soon as any of them ends.
+func TestLoadOfOverusedWorker(t *testing.T) {
+	m := newMachine(8)
+	m.Submit(0, owner, []wire.RunRequest{request("a", 3, 0), request("b", 3, 0)})
+	shrinkTo(m, 2)
+	l := m.Load(6 * ms)
+	if l.Free.MilliCPU != 0 || l.QueuedMilliCPU[0] != 4 {
+		t.Errorf("free %d, queued %d, want 0 and the 4 that have to end first", l.Free.MilliCPU, l.QueuedMilliCPU[0])
+	}
+	if err := l.Validate(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/decision/occupancy/load.go
+++ b/internal/decision/occupancy/load.go
@@ -185,6 +185,9 @@
 		Suspect: m.health.suspect(now), Probe: m.health.probe(now),
 	}
 	l.Free = work.Resources{MilliCPU: max(l.Free.MilliCPU, 0), MemoryMB: max(l.Free.MemoryMB, 0), Accelerators: max(l.Free.Accelerators, 0)}
+	// After a shrink, the excess has to end before anything else starts, as if it were queued
+	// before all other runs.
+	l.QueuedMilliCPU[0] = max(m.used.MilliCPU-m.worker.Capacity.MilliCPU, 0)
 	m.load.decayStartedWork(now)
 	if capacityWork := float64(m.worker.Capacity.MilliCPU) * float64(rankShareDecayTime.Milliseconds()); capacityWork > 0 {
 		for rank, startedWork := range m.load.startedWork {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -63,7 +63,7 @@
 	}
 	r.updateAvailability(now)
 	for _, c := range r.entries {
-		if report.ID != old.ID || report.Incarnation != old.Incarnation || report.Draining != old.Draining {
+		if report.ID != old.ID || report.Incarnation != old.Incarnation || report.Draining != old.Draining || report.Capacity != old.Capacity {
 			c.wake()
 		}
 	}
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -84,7 +84,8 @@
 	Capacity work.Resources `msgpack:"t"`
 	Free     work.Resources `msgpack:"f"`
 	// QueuedMilliCPU is the processor capacity that the queued runs need, by rank,
-	// in thousandths of a core.
+	// in thousandths of a core. The first rank includes what the running ones use beyond a
+	// capacity that has shrunk.
 	QueuedMilliCPU [NumRanks]int64 `msgpack:"u,omitempty"`
 	// RemainingWork is the estimated remaining run time of the running tasks times
 	// their cores, in thousandths of a core times milliseconds.
