occupancy: a crash counts under a run only if its end could not have been waiting to be listed

Change: a crash is certain only if the sidecar's status request had waited at the worker for 1 ms or more when its connection broke, so that earlier ends had been listed; otherwise the crash is uncertain, like one under a start without an answer. Runs whose leases lapsed are uncertain, too.

--- a/internal/broker/crash.go
+++ b/internal/broker/crash.go
@@ -23,7 +23,7 @@
 // hear of it at once, and the others by the hash in a later exchange.
 func (b *Broker) tellPeers(records []crashes.Record) {
 	for _, r := range records {
-		event.LogRateLimited(event.CrashLearned, "sidecar", r.Sidecar, "born", r.Incarnation, "tasks", len(r.Tasks), "unknownStarts", len(r.UnknownStarts), "ageMs", (clock.SinceBoot() - r.At).Milliseconds())
+		event.LogRateLimited(event.CrashLearned, "sidecar", r.Sidecar, "born", r.Incarnation, "tasks", len(r.Tasks), "uncertain", len(r.Uncertain), "ageMs", (clock.SinceBoot() - r.At).Milliseconds())
 	}
 	b.untold = append(b.untold, records...)
 	b.untold = b.untold[max(0, len(b.untold)-maxUntold):]
--- a/internal/decision/crashes/crashes.go
+++ b/internal/decision/crashes/crashes.go
@@ -35,18 +35,17 @@
 	ID
 	// At is the time of the crash.
 	At time.Duration
-	// Tasks were at work on the worker. UnknownStarts may have been: it is not known whether
-	// their runs had started.
-	Tasks, UnknownStarts []work.TaskID
+	// Tasks were at work on the worker, and Uncertain may have been.
+	Tasks, Uncertain []work.TaskID
 }
 
-func (r *Record) empty() bool { return len(r.Tasks)+len(r.UnknownStarts) == 0 }
+func (r *Record) empty() bool { return len(r.Tasks)+len(r.Uncertain) == 0 }
 
 // history is what is known of one task.
 type history struct {
-	// crashes are those under the task, and unknownStarts those of which it is not known
-	// whether the task had started.
-	crashes, unknownStarts []ID
+	// crashes are those under the task, and uncertain those of which it is not known whether
+	// the task was at work.
+	crashes, uncertain []ID
 }
 
 // Table counts the crashes under each task.
@@ -77,15 +76,15 @@
 		if h := t.historyOf(task); !slices.Contains(h.crashes, r.ID) {
 			h.crashes = append(h.crashes, r.ID)
 			t.hash ^= hashOf(r.ID, task, true)
-			t.removeUnknownStart(h, r.ID, task)
+			t.removeUncertain(h, r.ID, task)
 			added.Tasks = append(added.Tasks, task)
 		}
 	}
-	for _, task := range r.UnknownStarts[:min(len(r.UnknownStarts), MaxTasks)] {
-		if h := t.historyOf(task); !slices.Contains(h.crashes, r.ID) && !slices.Contains(h.unknownStarts, r.ID) {
-			h.unknownStarts = append(h.unknownStarts, r.ID)
+	for _, task := range r.Uncertain[:min(len(r.Uncertain), MaxTasks)] {
+		if h := t.historyOf(task); !slices.Contains(h.crashes, r.ID) && !slices.Contains(h.uncertain, r.ID) {
+			h.uncertain = append(h.uncertain, r.ID)
 			t.hash ^= hashOf(r.ID, task, false)
-			added.UnknownStarts = append(added.UnknownStarts, task)
+			added.Uncertain = append(added.Uncertain, task)
 		}
 	}
 	if !added.empty() {
@@ -112,7 +111,7 @@
 	for len(t.records) > 0 && (now-t.records[0].At > Retention || len(t.tasks) > MaxTasks) {
 		oldest := t.records[0]
 		t.records = t.records[1:]
-		for _, task := range slices.Concat(oldest.Tasks, oldest.UnknownStarts) {
+		for _, task := range slices.Concat(oldest.Tasks, oldest.Uncertain) {
 			t.remove(oldest.ID, task)
 		}
 	}
@@ -123,12 +122,12 @@
 	if h == nil {
 		return
 	}
-	t.removeUnknownStart(h, id, task)
+	t.removeUncertain(h, id, task)
 	if i := slices.Index(h.crashes, id); i >= 0 {
 		h.crashes = slices.Delete(h.crashes, i, i+1)
 		t.hash ^= hashOf(id, task, true)
 	}
-	if len(h.crashes)+len(h.unknownStarts) > 0 {
+	if len(h.crashes)+len(h.uncertain) > 0 {
 		return
 	}
 	delete(t.tasks, task)
@@ -137,9 +136,9 @@
 	}
 }
 
-func (t *Table) removeUnknownStart(h *history, id ID, task work.TaskID) {
-	if i := slices.Index(h.unknownStarts, id); i >= 0 {
-		h.unknownStarts = slices.Delete(h.unknownStarts, i, i+1)
+func (t *Table) removeUncertain(h *history, id ID, task work.TaskID) {
+	if i := slices.Index(h.uncertain, id); i >= 0 {
+		h.uncertain = slices.Delete(h.uncertain, i, i+1)
 		t.hash ^= hashOf(id, task, false)
 	}
 }
@@ -154,10 +153,10 @@
 func (t *Table) Hash() uint64 { return t.hash }
 
 // Count returns the number of crashes under a task, and that of further crashes of which it is
-// not known whether the task had started.
-func (t *Table) Count(task work.TaskID) (crashes, unknownStarts int) {
+// not known whether the task was at work.
+func (t *Table) Count(task work.TaskID) (crashes, uncertain int) {
 	if h := t.tasks[task]; h != nil {
-		return len(h.crashes), len(h.unknownStarts)
+		return len(h.crashes), len(h.uncertain)
 	}
 	return 0, 0
 }
--- a/internal/decision/crashes/crashes_test.go
+++ b/internal/decision/crashes/crashes_test.go
@@ -31,17 +31,17 @@
 	}
 }
 
-// Guards against a start before a crash that stays unknown after it has been confirmed.
-func TestUnknownStartIsConfirmed(t *testing.T) {
+// Guards against a crash that stays uncertain after another process has confirmed it.
+func TestUncertainCrashIsConfirmed(t *testing.T) {
 	table := NewTable()
-	table.Add(0, Record{ID: ID{Sidecar: "a"}, UnknownStarts: []work.TaskID{task("x")}})
+	table.Add(0, Record{ID: ID{Sidecar: "a"}, Uncertain: []work.TaskID{task("x")}})
 	if n, unknown := table.Count(task("x")); n != 0 || unknown != 1 {
-		t.Errorf("%d crashes and %d unknown starts, want 0 and 1", n, unknown)
+		t.Errorf("%d crashes and %d uncertain ones, want 0 and 1", n, unknown)
 	}
 	table.Add(0, Record{ID: ID{Sidecar: "a"}, Tasks: []work.TaskID{task("x")}})
-	table.Add(0, Record{ID: ID{Sidecar: "a"}, UnknownStarts: []work.TaskID{task("x")}})
+	table.Add(0, Record{ID: ID{Sidecar: "a"}, Uncertain: []work.TaskID{task("x")}})
 	if n, unknown := table.Count(task("x")); n != 1 || unknown != 0 {
-		t.Errorf("%d crashes and %d unknown starts, want 1 and 0", n, unknown)
+		t.Errorf("%d crashes and %d uncertain ones, want 1 and 0", n, unknown)
 	}
 	direct := NewTable()
 	direct.Add(0, Record{ID: ID{Sidecar: "a"}, Tasks: []work.TaskID{task("x")}})
--- a/internal/decision/occupancy/crash.go
+++ b/internal/decision/occupancy/crash.go
@@ -1,14 +1,18 @@
 package occupancy
 
-import "github.com/cardamomturn/cardamomturn/internal/work"
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
 
 // WorkerCrashed tells that a worker process has exited without having said that it would. A
 // start call that was in flight then may prove later to have reached that process; another
 // WorkerCrashed with the same process names its run.
 type WorkerCrashed struct {
 	Worker Worker
-	// Runs were at work there, and UnknownStarts may have been.
-	Runs, UnknownStarts []work.RunID
+	// Runs were at work there, and Uncertain may have been.
+	Runs, Uncertain []work.RunID
 }
 
 func (WorkerCrashed) action() {}
@@ -25,7 +29,7 @@
 // further run is concerned.
 func (m *Machine) recordCrash(c WorkerCrashed) {
 	process := c.Worker.process()
-	if c.Worker.Leaving || process == (processID{}) || len(c.Runs)+len(c.UnknownStarts) == 0 && m.crashed == process {
+	if c.Worker.Leaving || process == (processID{}) || len(c.Runs)+len(c.Uncertain) == 0 && m.crashed == process {
 		return
 	}
 	m.crashed = process
@@ -39,28 +43,42 @@
 	}
 }
 
-// hasStarted reports whether the worker has confirmed the start of a run.
-func (r *run) hasStarted() bool { return r.confirmedAt > 0 || r.listed }
+// minBrokenWait is the least time for which a status request has waited at the worker when its
+// connection broke, for the worker to have listed all ends before the crash: the request has to
+// reach it, and a reply to return.
+const minBrokenWait = time.Millisecond
+
+// StatusBroken records that a status request has failed for the first time since the last
+// status, and for how long it had waited for the end of a run; zero if it had not reached the
+// worker or was not answered in time.
+func (m *Machine) StatusBroken(waited time.Duration) { m.brokenWait = waited }
+
+// listsAllEnds reports whether the worker has listed all runs that had ended before it crashed.
+func (m *Machine) listsAllEnds() bool { return m.brokenWait >= minBrokenWait }
 
 // addCrashed adds an active run that ends with its worker process to a crash.
-func (c *WorkerCrashed) addCrashed(r *run) {
-	if r.hasStarted() {
+func (m *Machine) addCrashed(c *WorkerCrashed, r *run) {
+	if m.listsAllEnds() && (r.confirmedAt > 0 || r.listed) {
 		r.setCrashed(c.Worker, work.Crashed)
 		c.Runs = append(c.Runs, r.Run)
 		return
 	}
-	r.setCrashed(c.Worker, work.UnknownStart)
-	c.UnknownStarts = append(c.UnknownStarts, r.Run)
+	r.setCrashed(c.Worker, work.UncertainCrash)
+	c.Uncertain = append(c.Uncertain, r.Run)
 }
 
-// takeUntrackedRuns returns the runs, apart from the active ones, that were at work when the
-// worker process was last heard: those that an earlier sidecar process has started, and
-// those whose leases have expired since the worker was last heard.
-func (m *Machine) takeUntrackedRuns() []work.RunID {
-	runs := m.lapsedRuns
+// newCrash returns the crash of the worker process with the runs, apart from the active ones,
+// that it may have executed: those that an earlier sidecar process has started, and those whose
+// leases have expired since it was last heard.
+func (m *Machine) newCrash() WorkerCrashed {
+	c := WorkerCrashed{Worker: m.worker, Uncertain: m.lapsedRuns}
+	m.lapsedRuns = nil
 	for id := range m.unknownRuns {
-		runs = append(runs, id)
+		if m.listsAllEnds() {
+			c.Runs = append(c.Runs, id)
+		} else {
+			c.Uncertain = append(c.Uncertain, id)
+		}
 	}
-	m.lapsedRuns = nil
-	return runs
+	return c
 }
--- a/internal/decision/occupancy/crash_test.go
+++ b/internal/decision/occupancy/crash_test.go
@@ -35,6 +35,7 @@
 	m.StartAnswered(ms, starts[0], Accepted, "")
 	m.ApplyStatus(3*ms, WorkerStatus{RequestedAt: 2 * ms, Running: []Progress{{Run: starts[0]}}})
 	m.StartAnswered(4*ms, starts[1], Accepted, "")
+	m.StatusBroken(minBrokenWait)
 	return m, starts[0], starts[1]
 }
 
@@ -69,7 +70,7 @@
 	m.StopConfirmed(21*ms, run)
 	m.ApplyStatus(30*ms, WorkerStatus{RequestedAt: 22 * ms})
 	ends, crashes := takeCrashes(m)
-	if len(ends) != 1 || ends[0].Crash != work.UnknownStart {
+	if len(ends) != 1 || ends[0].Crash != work.UncertainCrash {
 		t.Errorf("ends %+v, want one that may have ended with the crash", ends)
 	}
 	named := 0
@@ -77,7 +78,7 @@
 		if c.Worker.Incarnation != 1 {
 			t.Errorf("crash of process %d, want 1", c.Worker.Incarnation)
 		}
-		named += len(c.UnknownStarts)
+		named += len(c.Uncertain)
 	}
 	if named != 1 {
 		t.Errorf("crashes %+v name %d runs, want 1", crashes, named)
@@ -93,18 +94,36 @@
 		t.Errorf("ends %+v, crashes %+v, want two possible ones", ends, crashes)
 	}
 	m.SetWorker(3000*ms, Worker{ID: "w", Incarnation: 2})
-	if _, crashes := takeCrashes(m); len(crashes) != 1 || !slices.Equal(crashes[0].Runs, []work.RunID{listed, accepted}) {
+	if _, crashes := takeCrashes(m); len(crashes) != 1 || !slices.Equal(crashes[0].Uncertain, []work.RunID{listed, accepted}) {
 		t.Errorf("crashes %+v, want one of both runs", crashes)
 	}
 	m, _, _ = newCrashMachine(t)
 	m.LeasesExpired(1500 * ms)
 	m.ApplyStatus(2000*ms, WorkerStatus{RequestedAt: 1990 * ms})
 	m.SetWorker(3000*ms, Worker{ID: "w", Incarnation: 2})
-	if _, crashes := takeCrashes(m); len(crashes) != 1 || len(crashes[0].Runs) > 0 {
+	if _, crashes := takeCrashes(m); len(crashes) != 1 || len(crashes[0].Runs)+len(crashes[0].Uncertain) > 0 {
 		t.Errorf("crashes %+v, want one without the runs that ended before", crashes)
 	}
 }
 
+// Guards against a crash that is blamed on a run whose end the worker had not listed yet.
+func TestCrashAfterUnlistedEnd(t *testing.T) {
+	for name, broken := range map[string]func(m *Machine){
+		"no request waited":             func(m *Machine) { m.StatusBroken(0) },
+		"a request had just been sent":  func(m *Machine) { m.StatusBroken(minBrokenWait - 1) },
+		"a status came since it waited": func(m *Machine) { m.ApplyStatus(5*ms, WorkerStatus{RequestedAt: 3 * ms}) },
+	} {
+		m, _, _ := newCrashMachine(t)
+		broken(m)
+		m.WorkerExited(20*ms, 10*ms)
+		for _, e := range reportedEnds(m) {
+			if e.Crash != work.UncertainCrash {
+				t.Errorf("%s: end %+v, want an uncertain one", name, e)
+			}
+		}
+	}
+}
+
 // Guards against an announced exit that is blamed on the runs.
 func TestAnnouncedExitIsNoCrash(t *testing.T) {
 	for name, leave := range map[string]func(m *Machine){
@@ -126,6 +145,7 @@
 	m := newMachine(4)
 	inherited := work.RunID{Task: work.TaskID{Job: "inherited"}, Attempt: 1}
 	m.ApplyStatus(2*ms, WorkerStatus{RequestedAt: ms, Running: []Progress{{Run: inherited}}})
+	m.StatusBroken(minBrokenWait)
 	m.WorkerExited(20*ms, 10*ms)
 	if _, crashes := takeCrashes(m); len(crashes) != 1 || !slices.Equal(crashes[0].Runs, []work.RunID{inherited}) {
 		t.Errorf("crashes %+v, want one of the inherited run", crashes)
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -137,6 +137,8 @@
 	statusKnown bool
 	// lapsedRuns are the runs whose leases have expired since the worker was last heard.
 	lapsedRuns []work.RunID
+	// brokenWait is the argument of StatusBroken, zero since a status.
+	brokenWait time.Duration
 	// crashed is the last worker process of which WorkerCrashed has told.
 	crashed processID
 
--- a/internal/decision/occupancy/status.go
+++ b/internal/decision/occupancy/status.go
@@ -48,8 +48,8 @@
 	for _, p := range s.Running {
 		m.applyRunning(now, p)
 	}
-	// The worker process that had them has not exited.
-	m.lapsedRuns = nil
+	// The worker process has not exited.
+	m.lapsedRuns, m.brokenWait = nil, 0
 	if !s.MoreEnds { // a run that is not listed may be among the ends that follow
 		m.applyAbsences(now, s.RequestedAt, listed)
 		m.statusKnown = true
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -70,10 +70,10 @@
 // in flight may have reached the next worker process, which can have the same ID, so the
 // other runs stay active until a status shows whether the next process executes them.
 func (m *Machine) endIncarnation(now time.Duration, reason string, ended func(r *run) bool) {
-	crash := WorkerCrashed{Worker: m.worker, Runs: m.takeUntrackedRuns()}
+	crash := m.newCrash()
 	for _, r := range m.activeRuns() {
 		if ended(r) {
-			crash.addCrashed(r)
+			m.addCrashed(&crash, r)
 			m.endRun(now, r, work.Lost, reason)
 			continue
 		}
--- a/internal/decision/placement/crash.go
+++ b/internal/decision/placement/crash.go
@@ -43,7 +43,7 @@
 // addCrash remembers a crash and returns the part that was not known.
 func (m *Machine) addCrash(now time.Duration, r crashes.Record) crashes.Record {
 	added := m.crashes.Add(now, r)
-	if len(added.Tasks)+len(added.UnknownStarts) > 0 {
+	if len(added.Tasks)+len(added.Uncertain) > 0 {
 		m.learned = append(m.learned, added)
 	}
 	return added
@@ -67,11 +67,11 @@
 		if t.done {
 			continue
 		}
-		known, unknownStarts := m.crashes.Count(t.id())
+		known, uncertain := m.crashes.Count(t.id())
 		if known >= m.cfg.MaxCrashes {
 			return work.Answer{State: work.Failed, Reason: work.ReasonCrashes}, true
 		}
-		exhausted = exhausted || known+unknownStarts >= maxPossibleCrashes
+		exhausted = exhausted || known+uncertain >= maxPossibleCrashes
 	}
 	return work.Answer{State: work.Unfinished, Reason: work.ReasonCrashes}, exhausted
 }
@@ -98,9 +98,9 @@
 	case work.Crashed:
 		stats.CrashedRuns++
 		m.addCrash(now, crashes.Record{ID: id, At: now, Tasks: []work.TaskID{t.id()}})
-	case work.UnknownStart:
+	case work.UncertainCrash:
 		stats.PossiblyCrashedRuns++
-		m.addCrash(now, crashes.Record{ID: id, At: now, UnknownStarts: []work.TaskID{t.id()}})
+		m.addCrash(now, crashes.Record{ID: id, At: now, Uncertain: []work.TaskID{t.id()}})
 	case work.SilentWorker:
 		stats.PossiblyCrashedRuns++
 		t.silentWorkers = append(t.silentWorkers, silentWorker{sidecar, incarnation, e.CrashedIncarnation != 0})
@@ -113,8 +113,8 @@
 	if len(t.silentWorkers) == 0 {
 		return false
 	}
-	known, unknownStarts := m.crashes.Count(t.id())
-	return known+unknownStarts+len(t.silentWorkers) >= maxPossibleCrashes
+	known, uncertain := m.crashes.Count(t.id())
+	return known+uncertain+len(t.silentWorkers) >= maxPossibleCrashes
 }
 
 // settleSilentWorkers decides whether the worker beside a sidecar, which has been heard again,
@@ -146,7 +146,7 @@
 			r.Tasks = []work.TaskID{t.id()}
 			m.addCrash(now, r)
 		default:
-			r.UnknownStarts = []work.TaskID{t.id()}
+			r.Uncertain = []work.TaskID{t.id()}
 			m.addCrash(now, r)
 		}
 	}
--- a/internal/decision/placement/crash_test.go
+++ b/internal/decision/placement/crash_test.go
@@ -84,17 +84,17 @@
 	}
 }
 
-// Guards against a job that is called failed although its task may never have started on the
-// workers that crashed, and against one that is started without end for the same reason.
-func TestUnknownStartsBeforeCrashes(t *testing.T) {
+// Guards against a job that is called failed although its task may not have been at work
+// on the workers that crashed, and against one that is started without end for the same reason.
+func TestUncertainCrashes(t *testing.T) {
 	h := newHarness(t, 6)
 	h.submit(newPatientJob("a"))
 	for i := range maxPossibleCrashes {
 		if a, answered := h.answers["a"]; answered {
-			t.Fatalf("answer %+v after %d unknown starts", a, i)
+			t.Fatalf("answer %+v after %d uncertain crashes", a, i)
 		}
 		sidecar, r := h.takeOnlyRun()
-		h.loseRun(sidecar, r, work.UnknownStart)
+		h.loseRun(sidecar, r, work.UncertainCrash)
 	}
 	if a := h.answers["a"]; a.State != work.Unfinished || a.Reason != work.ReasonCrashes {
 		t.Errorf("answer %+v, want an unfinished job", a)
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -95,7 +95,7 @@
 	}
 	WorkerCrashed = &Event{
 		Number: 8019, Severity: Warning, Name: "worker crashed",
-		Meaning: "A worker process exited although it had not said that it would. `tasks` names the runs that were at work there, each as job/step/task#attempt, and `unknownTasks` those of which it is not known whether they had started; one of them may be the cause. A second line with the same `born` names runs whose start was in flight.",
+		Meaning: "A worker process exited although it had not said that it would. `tasks` names the runs that were at work there, each as job/step/task#attempt, and `uncertainTasks` those of which that is not known; one of them may be the cause. A second line with the same `born` names runs whose start was in flight.",
 		Action:  "Look for a task that several of these events name: `cardamomctl trace` with the id of its job. If none is named twice, inspect the backend server.",
 	}
 	CrashLearned = &Event{
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -14,16 +14,16 @@
 // workerCrashed logs and counts the crash of a worker process, and tells the entry instances
 // at once; mu is held.
 func (r *Runner) workerCrashed(now time.Duration, a occupancy.WorkerCrashed) {
-	event.LogRateLimited(event.WorkerCrashed, "worker", a.Worker.ID, "born", a.Worker.Incarnation, "runs", len(a.Runs), "unknownStarts", len(a.UnknownStarts),
-		"tasks", taskNames(a.Runs), "unknownTasks", taskNames(a.UnknownStarts))
+	event.LogRateLimited(event.WorkerCrashed, "worker", a.Worker.ID, "born", a.Worker.Incarnation, "runs", len(a.Runs), "uncertain", len(a.Uncertain),
+		"tasks", taskNames(a.Runs), "uncertainTasks", taskNames(a.Uncertain))
 	if r.metrics != nil {
 		r.metrics.Scope().Counter("worker_crashes").Inc(1)
 	}
-	if len(a.Runs)+len(a.UnknownStarts) == 0 {
+	if len(a.Runs)+len(a.Uncertain) == 0 {
 		return
 	}
 	r.crashes.Add(crashes.Record{ID: crashes.ID{Sidecar: r.self.Process.Instance, Incarnation: a.Worker.Incarnation}, At: now,
-		Tasks: tasksOf(a.Runs), UnknownStarts: tasksOf(a.UnknownStarts)})
+		Tasks: tasksOf(a.Runs), Uncertain: tasksOf(a.Uncertain)})
 	for _, c := range r.entries {
 		c.wake()
 	}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -215,6 +215,9 @@
 		} else {
 			refusals = 0
 		}
+		if failures == 1 {
+			s.handleBrokenStatus(brokenWait(req, err, time.Since(sentAt)))
+		}
 		s.handleStatusFailure(requestedAt, err, failures, refusals)
 		if !errors.Is(err, context.DeadlineExceeded) {
 			clock.Sleep(s.ctx, statusRetryDelay)
@@ -222,6 +225,25 @@
 	}
 }
 
+// brokenWait returns the time for which a failed status request had waited at the worker when
+// its connection broke, zero if it was not waiting there.
+func brokenWait(req StatusRequest, err error, elapsed time.Duration) time.Duration {
+	if req.Wait == 0 || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ECONNREFUSED) {
+		return 0
+	}
+	return elapsed
+}
+
+// handleBrokenStatus handles the first failed status request since the last status.
+func (s *supervisor) handleBrokenStatus(waited time.Duration) {
+	r := s.runner
+	now := r.lockAndDropSilentOwners()
+	defer r.runMachineAndUnlock(now)
+	if r.supervisor == s {
+		r.machine.StatusBroken(waited)
+	}
+}
+
 // nextStatusRequest returns the next status request and the current time.
 func (s *supervisor) nextStatusRequest() (StatusRequest, time.Duration) {
 	r := s.runner
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -19,23 +19,23 @@
 	Incarnation int64  `msgpack:"b"`
 	// AgeMs is the time since the crash in milliseconds.
 	AgeMs int64 `msgpack:"a,omitempty"`
-	// Tasks were at work on the worker, and UnknownStarts may have been.
-	Tasks         []work.TaskID `msgpack:"t,omitempty"`
-	UnknownStarts []work.TaskID `msgpack:"u,omitempty"`
+	// Tasks were at work on the worker, and Uncertain may have been.
+	Tasks     []work.TaskID `msgpack:"t,omitempty"`
+	Uncertain []work.TaskID `msgpack:"u,omitempty"`
 }
 
 // NewCrashRecords returns the messages for a list of records.
 func NewCrashRecords(now time.Duration, list []crashes.Record) []CrashRecord {
 	var records []CrashRecord
 	for _, r := range list {
-		records = append(records, CrashRecord{Sidecar: r.Sidecar, Incarnation: r.Incarnation, AgeMs: max(now-r.At, 0).Milliseconds(), Tasks: r.Tasks, UnknownStarts: r.UnknownStarts})
+		records = append(records, CrashRecord{Sidecar: r.Sidecar, Incarnation: r.Incarnation, AgeMs: max(now-r.At, 0).Milliseconds(), Tasks: r.Tasks, Uncertain: r.Uncertain})
 	}
 	return records
 }
 
 // Record returns the crash of which the message tells, at a time of the receiver's clock.
 func (c *CrashRecord) Record(now time.Duration) crashes.Record {
-	return crashes.Record{ID: crashes.ID{Sidecar: c.Sidecar, Incarnation: c.Incarnation}, At: now - time.Duration(c.AgeMs)*time.Millisecond, Tasks: c.Tasks, UnknownStarts: c.UnknownStarts}
+	return crashes.Record{ID: crashes.ID{Sidecar: c.Sidecar, Incarnation: c.Incarnation}, At: now - time.Duration(c.AgeMs)*time.Millisecond, Tasks: c.Tasks, Uncertain: c.Uncertain}
 }
 
 // validateCrashes checks the values of a list of crashes. Errors satisfy errors.IsNotValid.
@@ -45,10 +45,10 @@
 	}
 	for i := range list {
 		c := &list[i]
-		if c.Sidecar == "" || c.Incarnation < 0 || !validMs(c.AgeMs) || len(c.Tasks) > maxCount || len(c.UnknownStarts) > maxCount {
-			return errors.NotValidf("crash of process %d beside %q, %d ms ago, with %d and %d tasks", c.Incarnation, c.Sidecar, c.AgeMs, len(c.Tasks), len(c.UnknownStarts))
+		if c.Sidecar == "" || c.Incarnation < 0 || !validMs(c.AgeMs) || len(c.Tasks) > maxCount || len(c.Uncertain) > maxCount {
+			return errors.NotValidf("crash of process %d beside %q, %d ms ago, with %d and %d tasks", c.Incarnation, c.Sidecar, c.AgeMs, len(c.Tasks), len(c.Uncertain))
 		}
-		for _, t := range slices.Concat(c.Tasks, c.UnknownStarts) {
+		for _, t := range slices.Concat(c.Tasks, c.Uncertain) {
 			if !validTask(t) {
 				return errors.NotValidf("crash with task %+v", t)
 			}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -189,16 +189,16 @@
 	// SilentWorker means that nothing has been heard of the worker process since the run was
 	// at work.
 	SilentWorker
-	// UnknownStart means that the worker process crashed, and that it is not known whether the
-	// run had started.
-	UnknownStart
+	// UncertainCrash means that the worker process crashed, and that it is not known whether the
+	// run was at work then: it may not have started, or have ended before.
+	UncertainCrash
 	// Crashed means that the run was at work when the worker process crashed.
 	Crashed
 )
 
 // String returns the name of the value.
 func (c Crash) String() string {
-	names := [...]string{"no", "silent worker", "unknown start", "yes"}
+	names := [...]string{"no", "silent worker", "uncertain", "yes"}
 	if !c.Valid() {
 		return "unknown value " + strconv.Itoa(int(c))
 	}
