runner, placement: a sidecar process raises its fencing token above those of earlier ones

What callers would see: a task runs after the job was refused as not run, or twice at a time.

Cause: the token of a sidecar process is its start time. After the time of day was set back, it is lower than that of its predecessor, and a worker process that has seen no token accepts the call.

Without the rule, the new fault of TestModelFaults finds it. TestTokenAboveEarlierProcess and TestFencingTokenOfPredecessor are new.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -224,6 +224,7 @@
 		b.updateReadiness()
 	}
 	reply.Entry = b.self.Process
+	reply.FencingToken = b.machine.FencingToken(req.Info.Sidecar.Process.Instance)
 	reply.Members, reply.MembersHash = b.members.listUnless(req.MembersHash)
 	return nil
 }
--- a/internal/decision/ownership/model/entry.go
+++ b/internal/decision/ownership/model/entry.go
@@ -142,7 +142,8 @@
 	}
 }
 
-func (e *entryProcess) handleHeartbeat(info wire.WorkerInfo, session uint64, load wire.Load, confirmed bool) {
+// handleHeartbeat returns the highest known fencing token of the sidecar.
+func (e *entryProcess) handleHeartbeat(info wire.WorkerInfo, session uint64, load wire.Load, confirmed bool) (token int64) {
 	from := info.Sidecar.Process
 	c := e.clients[from]
 	if c == nil {
@@ -152,4 +153,5 @@
 	c.noteClock(e.world.now, load)
 	e.m.Heartbeat(e.world.now, info, session, load, confirmed)
 	e.step()
+	return e.m.FencingToken(from.Instance)
 }
--- a/internal/decision/ownership/model/faults_test.go
+++ b/internal/decision/ownership/model/faults_test.go
@@ -87,6 +87,15 @@
 		w.submitJob(w.entries[0], 8*time.Second, jobTimeout)
 		w.after(w.random(600*ms, time.Second), func() { w.workers[0].crash(w.random(0, 500*ms), true) })
 	}},
+	"raising the token above those of earlier sidecar processes": {func(g *guards) { g.processToken = false }, 8 * time.Second, 15 * time.Second, func(w *world) {
+		w.workers[0].lateUntil = w.now + 500*ms
+		w.submitJob(w.entries[0], 8*time.Second, jobTimeout)
+		w.after(600*ms, func() {
+			w.clockStep = -time.Hour
+			w.workers[0].crash(w.random(500*ms, time.Second), true)
+			w.restartSidecarAfter(0, 50*ms)
+		})
+	}},
 	"the stop of runs at the next worker process": {func(g *guards) { g.restart = false }, 300 * ms, 8 * time.Second, func(w *world) {
 		w.after(time.Second, func() { // no run is active, so that no status is requested
 			w.workers[0].crash(0, true)
--- a/internal/decision/ownership/model/guards.go
+++ b/internal/decision/ownership/model/guards.go
@@ -21,10 +21,12 @@
 	// lifeToken: calls to an earlier life of the worker have no effect at the next one.
 	// needsLease: leases are extended only while a run is to go on.
 	// startDelay: a sidecar makes no start call long after the decision.
-	unanswered, fencing, restart, leaseExpiry, responsive, superseded, lifeToken, needsLease, startDelay bool
+	// processToken: a sidecar process raises its token above those of earlier ones, also if the
+	// time of day was set back.
+	unanswered, fencing, restart, leaseExpiry, responsive, superseded, lifeToken, needsLease, startDelay, processToken bool
 }
 
 var allGuards = guards{
 	batchAge: true, ownerTimeout: true, leftovers: true, pause: true, leaseLimit: true, droppedLimit: true, callerCheck: true,
-	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true, lifeToken: true, needsLease: true, startDelay: true,
+	unanswered: true, fencing: true, restart: true, leaseExpiry: true, responsive: true, superseded: true, lifeToken: true, needsLease: true, startDelay: true, processToken: true,
 }
--- a/internal/decision/ownership/model/sidecar.go
+++ b/internal/decision/ownership/model/sidecar.go
@@ -110,9 +110,13 @@
 	a := &s.attachments[entry]
 	detaching := a.unwanted && (o == nil || !o.busy(s))
 	sentAt, info, load, confirmed := s.clock(), s.info(), s.load(o), o != nil
-	s.world.call(msgHeartbeat, &s.process, &e.process, func() { e.handleHeartbeat(info, session, load, confirmed) }, func(r callResult) {
+	token := int64(0)
+	s.world.call(msgHeartbeat, &s.process, &e.process, func() { token = e.handleHeartbeat(info, session, load, confirmed) }, func(r callResult) {
 		s.dropSilentOwners()
 		defer s.step()
+		if r == answered {
+			s.fenceOff(token)
+		}
 		delay := 250 * ms
 		switch {
 		case r == refused && o != nil:
@@ -192,9 +196,13 @@
 		return
 	}
 	sentAt, session, info, load := s.clock(), o.Session(), s.info(), s.load(o)
-	s.world.call(msgHeartbeat, &s.process, &o.entry.process, func() { o.entry.handleHeartbeat(info, session, load, true) }, func(r callResult) {
+	token := int64(0)
+	s.world.call(msgHeartbeat, &s.process, &o.entry.process, func() { token = o.entry.handleHeartbeat(info, session, load, true) }, func(r callResult) {
 		s.dropSilentOwners()
 		defer s.step()
+		if r == answered {
+			s.fenceOff(token)
+		}
 		switch r {
 		case refused:
 			s.drop(o)
--- a/internal/decision/ownership/model/supervisor.go
+++ b/internal/decision/ownership/model/supervisor.go
@@ -226,6 +226,15 @@
 	s.born = born
 }
 
+// fenceOff raises the fencing token above one that another process of this sidecar has used.
+func (s *sidecarProcess) fenceOff(token int64) {
+	if token > s.token && s.world.guards.processToken {
+		s.token = token + 1
+		s.tokenRaisedAt = s.clock()
+		s.wakePoll()
+	}
+}
+
 func (s *sidecarProcess) setWorker(next occupancy.Worker) {
 	if !s.world.guards.restart && next.Incarnation != s.setIncarnation {
 		s.m.WorkerExited(s.clock(), s.clock()) // takes each run for one of the earlier process
--- a/internal/decision/placement/incarnation.go
+++ b/internal/decision/placement/incarnation.go
@@ -20,6 +20,8 @@
 	lastSeen time.Duration
 	// newestEnd is the number of the newest end that it has reported in a session.
 	session, newestEnd uint64
+	// fencingToken is the highest fencing token that it has reported.
+	fencingToken int64
 }
 
 // replaced reports whether a later incarnation of the sidecar is in use. A network
@@ -39,7 +41,8 @@
 }
 
 // recordIncarnation records a heartbeat of a process.
-func (m *Machine) recordIncarnation(now time.Duration, process ident.Process) {
+func (m *Machine) recordIncarnation(now time.Duration, info wire.WorkerInfo) {
+	process := info.Sidecar.Process
 	known := m.incarnations[process.Instance]
 	if known == nil {
 		known = map[uint64]*incarnation{}
@@ -49,7 +52,19 @@
 		m.lastIncarnation++
 		known[process.Incarnation] = &incarnation{order: m.lastIncarnation}
 	}
-	known[process.Incarnation].lastSeen = now
+	i := known[process.Incarnation]
+	i.lastSeen, i.fencingToken = now, max(i.fencingToken, info.FencingToken)
+}
+
+// FencingToken returns the highest fencing token that any known process of a sidecar has
+// reported, zero if none is known. A process that has started after the time of day was set back
+// raises its own above it, so that the calls of its predecessors have no effect any more.
+func (m *Machine) FencingToken(sidecar string) int64 {
+	highest := int64(0)
+	for _, i := range m.incarnations[sidecar] {
+		highest = max(highest, i.fencingToken)
+	}
+	return highest
 }
 
 // predecessorsOf returns the incarnations of a sidecar that were known before the process.
--- a/internal/decision/placement/incarnation_test.go
+++ b/internal/decision/placement/incarnation_test.go
@@ -131,3 +131,23 @@
 		t.Errorf("runs %v, want the task at the next process", runs)
 	}
 }
+
+// Guards against a sidecar process that is not told of the fencing token of its predecessor,
+// which is higher because the time of day was set back.
+func TestFencingTokenOfPredecessor(t *testing.T) {
+	h := newHarness(t, 1)
+	next := info(0)
+	next.Sidecar.Process.Incarnation = 2
+	next.FencingToken = 50
+	known := info(0)
+	known.FencingToken = 70
+	h.version++
+	h.m.Heartbeat(h.now, known, 0, wire.Load{Version: h.version + 1}, true)
+	h.m.Heartbeat(h.now, next, 0, wire.Load{Version: 1}, true)
+	if token := h.m.FencingToken("side-0"); token != 70 {
+		t.Errorf("token %d, want 70", token)
+	}
+	if token := h.m.FencingToken("side-1"); token != 0 {
+		t.Errorf("token %d of an unknown sidecar", token)
+	}
+}
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -68,7 +68,7 @@
 	if m.replaced(info) {
 		return "a later process of the sidecar is known"
 	}
-	m.recordIncarnation(now, id)
+	m.recordIncarnation(now, info)
 	w := m.workers[id]
 	if w == nil && !confirmed && len(m.incarnations[id.Instance]) > 1 {
 		return "the process may have ended before another one of the sidecar"
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -210,6 +210,9 @@
 		return err
 	}
 	r := c.runner
+	if r.supervisor != nil {
+		r.supervisor.fenceOff(now, reply.FencingToken)
+	}
 	if c.owner == nil || c.owner.process != reply.Entry {
 		if c.owner != nil {
 			r.dropOwner(now, c.owner, "another process answers", 0)
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -68,3 +68,14 @@
 	}
 	s.incarnation = incarnation
 }
+
+// fenceOff raises the fencing token above one that another process of this sidecar has used. A
+// worker process that has seen none would carry out the late calls of that one; the time of day,
+// from which the token of this process comes, may have been set back.
+func (s *supervisor) fenceOff(now time.Duration, token int64) {
+	if token > s.fencingToken {
+		s.fencingToken = token + 1
+		s.tokenRaisedAt = now
+		s.wake()
+	}
+}
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -256,3 +256,26 @@
 		t.Error("a worker is not used again after a late report from another address")
 	}
 }
+
+// Guards against late calls of an earlier sidecar process that a restarted worker carries out,
+// because the time of day was set back before this process took its fencing token from it.
+func TestTokenAboveEarlierProcess(t *testing.T) {
+	now := clock.SinceBoot()
+	r := newSilentRunner(t)
+	r.HandleReport(report(1, 1))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := newTestClient(r, now)
+	own := r.supervisor.fencingToken
+	for _, reported := range []int64{0, own - 1, own} {
+		if err := c.handleReply(now, now, 4, &wire.RunnerHeartbeatReply{Entry: c.owner.process, FencingToken: reported}); err != nil || r.supervisor.fencingToken != own {
+			t.Errorf("token %d after a reply with %d, want %d (%v)", r.supervisor.fencingToken, reported, own, err)
+		}
+	}
+	if err := c.handleReply(now, now, 4, &wire.RunnerHeartbeatReply{Entry: c.owner.process, FencingToken: own + 5000}); err != nil || r.supervisor.fencingToken != own+5001 {
+		t.Errorf("token %d, want %d (%v)", r.supervisor.fencingToken, own+5001, err)
+	}
+	if err := c.handleReply(now, now, 4, &wire.RunnerHeartbeatReply{Entry: c.owner.process, FencingToken: 1 << 62}); err == nil || r.supervisor.fencingToken != own+5001 {
+		t.Errorf("token %d after an impossible one (%v)", r.supervisor.fencingToken, err)
+	}
+}
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -191,6 +191,9 @@
 	// the request has the same hash. Incarnations are left out.
 	Members     []Peer `msgpack:"l,omitempty"`
 	MembersHash uint64 `msgpack:"h,omitempty"`
+	// FencingToken is the highest fencing token that any process of the sidecar has reported,
+	// zero if unknown.
+	FencingToken int64 `msgpack:"f,omitempty"`
 }
 
 // ConfigExchangeRequest reports an entry instance's configuration version to
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -52,8 +52,8 @@
 	if h.Info.Sidecar.Process.IsZero() || h.Info.Sidecar.Address == "" || len(h.Info.Labels) > maxCount {
 		return errors.NotValidf("heartbeat of %v at %q with %d labels", h.Info.Sidecar.Process, h.Info.Sidecar.Address, len(h.Info.Labels))
 	}
-	if h.Session > maxCounter {
-		return errors.NotValidf("heartbeat of session %d", h.Session)
+	if h.Session > maxCounter || h.Info.FencingToken > int64(maxCounter) {
+		return errors.NotValidf("heartbeat of session %d with fencing token %d", h.Session, h.Info.FencingToken)
 	}
 	if err := validateCrashes(h.Crashes); err != nil {
 		return err
@@ -73,6 +73,9 @@
 	if r.Entry.IsZero() {
 		return errors.NotValidf("reply to a heartbeat without the entry instance")
 	}
+	if r.FencingToken < 0 || r.FencingToken > int64(maxCounter) {
+		return errors.NotValidf("reply to a heartbeat with fencing token %d", r.FencingToken)
+	}
 	return nil
 }
 
