occupancy: a worker that refuses the connection of a start call gets no further runs until its next status

What callers saw: between the crash of a worker and the second refused status request, 60 ms later, each run that was sent there came back within a millisecond and was sent there again.

Cause: a start call that was not sent only ended its run; the sidecar went on accepting others. The refused call still does not count as proof of the exit. TestNoStartsAfterRefusedConnection fails before (does not compile without ConnectionRefused; without its effect the next run starts).

--- a/internal/decision/occupancy/crash_test.go
+++ b/internal/decision/occupancy/crash_test.go
@@ -151,3 +151,20 @@
 		t.Errorf("crashes %+v, want one of the inherited run", crashes)
 	}
 }
+
+// Guards against run after run that is sent to a worker which refuses connections, until the
+// second refused status request shows that it has exited.
+func TestNoStartsAfterRefusedConnection(t *testing.T) {
+	m := newMachine(4)
+	m.Submit(0, owner, []wire.RunRequest{request("refused", 1, 0)})
+	m.StartAnswered(2*ms, takeStarts(m)[0], Rejected, "connection refused")
+	m.ConnectionRefused(2 * ms)
+	m.Submit(3*ms, owner, []wire.RunRequest{request("next", 1, 0)})
+	if starts := takeStarts(m); len(starts) > 0 || m.Load(3*ms).AcceptsRuns {
+		t.Errorf("starts %v, accepts runs: %v", starts, m.Load(3*ms).AcceptsRuns)
+	}
+	m.ApplyStatus(20*ms, WorkerStatus{RequestedAt: 10 * ms})
+	if !m.Load(21 * ms).AcceptsRuns {
+		t.Error("the worker gets no runs after its next status")
+	}
+}
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -52,6 +52,13 @@
 	clear(m.unknownRuns)
 }
 
+// ConnectionRefused records that the worker has refused the connection for a start call. It gets
+// no further runs before its next status, because it would reject them all.
+func (m *Machine) ConnectionRefused(now time.Duration) {
+	m.statusKnown = false
+	m.startOrReturnQueued(now)
+}
+
 // LeasesExpired records that all leases granted to the worker have expired. A run
 // whose start the worker has not confirmed stays active: its start call may still
 // take effect until a stop call prevents it.
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -148,6 +148,9 @@
 		event.LogRateLimited(event.OrderUnanswered, "order", "start", "job", run.Task.Job, "task", run.Task.Index, "worker", r.report.ID, "reason", reply.Reason)
 	}
 	r.machine.StartAnswered(now, run, reply.Result, reply.Reason)
+	if reply.Refused && r.supervisor == s {
+		r.machine.ConnectionRefused(now)
+	}
 	s.wake()
 }
 
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -60,6 +60,8 @@
 	Reason string
 	// Fenced is true if the worker has seen a higher fencing token.
 	Fenced bool
+	// Refused is true if the worker's address refuses connections.
+	Refused bool
 	// ClockMs is the worker's clock in milliseconds, zero if unknown.
 	ClockMs int64
 }
