placement: runs that workers have returned are sent again after a growing delay, and only to room

Cause: a run that a worker returned without having started it was placed again at once, by an estimate that sent it where it would wait longer than it may; so it came back a millisecond later.

Change: after six returned runs in a row a task waits 5 ms, then twice as long each time, up to 160 ms, with jitter; a returned run is sent only where it is expected to start in time. If no worker can take it before the deadline of the job, the job is answered at once, as before.

--- a/internal/decision/placement/batch.go
+++ b/internal/decision/placement/batch.go
@@ -55,6 +55,7 @@
 	for i, t := range p.tasks {
 		w := p.workers[i]
 		if w == nil {
+			m.delayRetry(now, t)
 			m.addWaiting(j)
 			continue
 		}
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/estimate"
@@ -24,6 +25,9 @@
 	// worker has the newest run of the task; nil if that run has ended or there is
 	// none.
 	worker *worker
+	// returns counts the runs since the last one that started which ended with work.NotRun or
+	// work.NoRoom.
+	returns int
 	// avoidedWorkers are the workers of earlier runs that failed, were lost, stalled
 	// or ended with work.NotRun.
 	avoidedWorkers []*worker
@@ -37,6 +41,13 @@
 
 func (t *task) runID() work.RunID { return work.RunID{Task: t.id(), Attempt: t.attempt} }
 
+// avoid adds a worker to avoidedWorkers.
+func (t *task) avoid(w *worker) {
+	if !slices.Contains(t.avoidedWorkers, w) {
+		t.avoidedWorkers = append(t.avoidedWorkers, w)
+	}
+}
+
 // avoids reports whether the worker is one of avoidedWorkers, possibly with another
 // incarnation of its sidecar.
 func (t *task) avoids(w *worker) bool {
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -380,3 +380,66 @@
 		t.Errorf("%d runs and %d stops of a job without a caller remain", len(s.Runs), len(s.Stops))
 	}
 }
+
+// Guards against a job that is offered to workers hundreds of times a second because they have
+// no room for one of its tasks.
+func TestReturnedRunsAreNotRepeatedAtOnce(t *testing.T) {
+	const maxRuns = 30
+	h := newHarness(t, 3)
+	h.submit(newJobSpec("a", 2, 50*ms))
+	first := true
+	runs := 0
+	for h.now < 2*time.Second {
+		for sidecar, list := range h.takeRuns() {
+			for _, r := range list {
+				runs++
+				if first {
+					first = false
+					h.endRun(sidecar, r, work.Done) // so that the job is not refused
+					continue
+				}
+				h.endRun(sidecar, r, work.NotRun)
+			}
+		}
+		h.now += ms
+		for i := range 3 {
+			if h.now%(100*ms) == 0 {
+				h.heartbeat(i, 0, 32000)
+			}
+		}
+		h.m.Tick(h.now)
+		h.collect()
+	}
+	if runs > maxRuns {
+		t.Errorf("%d runs, want at most %d", runs, maxRuns)
+	}
+}
+
+// Guards against a run that is sent to a worker where it would wait for longer than it may.
+func TestReturnedRunNeedsRoom(t *testing.T) {
+	h := newHarness(t, 1)
+	spec := newJobSpec("a", 2, 50*ms)
+	h.submit(spec)
+	for sidecar, list := range h.takeRuns() {
+		h.endRun(sidecar, list[0], work.Done)
+		h.version++
+		h.m.SetLoad(h.now, sidecar, wire.Load{Version: h.version, AppliedSequence: 1 << 30, AcceptsRuns: true, Slowness: 1,
+			Capacity: work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}, QueuedMilliCPU: [wire.NumRanks]int64{20_000}, RemainingWork: 32000 * 400})
+		h.endRun(sidecar, list[1], work.NotRun)
+	}
+	for h.now < 300*ms {
+		h.now += 10 * ms
+		h.m.Tick(h.now)
+		h.collect()
+	}
+	if runs := h.takeRuns(); len(runs) > 0 {
+		t.Errorf("runs %+v although the worker has no room", runs)
+	}
+	h.heartbeat(0, 0, 32000)
+	h.now += maxRetryDelay
+	h.m.Tick(h.now)
+	h.collect()
+	if runs := h.takeRuns(); len(runs) != 1 {
+		t.Errorf("runs %+v after room was freed, want one", runs)
+	}
+}
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -77,10 +77,10 @@
 	}
 	for i, t := range tasks {
 		step := &j.spec.Steps[t.step]
-		w, wait := m.best(j, t, step, candidates, &p)
+		w, wait := m.best(now, j, t, step, candidates, &p)
 		if w == nil {
 			p.admissible = false
-			p.minTime = max(p.minTime, noWorkerDelay+j.minRunTime(t.step))
+			p.minTime = max(p.minTime, max(wait, noWorkerDelay)+j.minRunTime(t.step))
 			continue
 		}
 		p.workers[i], p.waits[i] = w, wait
@@ -137,8 +137,10 @@
 // on it. The cost is the expected time until the task ends, plus corrections. Of
 // the workers that can run the task, best prefers those that the task does not
 // avoid. Its last choice is a suspect worker, or a worker on probation (Load.Probe)
-// that the plan already uses or that has runs not yet included in its load summary.
-func (m *Machine) best(j *job, t *task, step *work.Step, candidates []*worker, p *plan) (best *worker, wait time.Duration) {
+// that the plan already uses or that has runs not yet included in its load summary. A task
+// whose run was returned takes no worker on which it is expected to wait for too long; if there
+// is no other, best returns the shortest of these waits.
+func (m *Machine) best(now time.Duration, j *job, t *task, step *work.Step, candidates []*worker, p *plan) (best *worker, wait time.Duration) {
 	bestCost, bestTier := time.Duration(0), 0
 	for _, w := range candidates {
 		if !step.Need.FitsIn(w.load.Capacity) || step.RequiredLabel != "" && !hasLabel(w, step.RequiredLabel) || step.MaxPerWorker > 0 && m.tasksOnWorker(j, t.step, w, p) >= step.MaxPerWorker {
@@ -152,6 +154,12 @@
 			tier = 1
 		}
 		workerWait := w.estimateWait(step.Need, j.spec.Rank)
+		if t.returns > 0 && workerWait > 0 && now+workerWait > j.waitLimit(t) {
+			if best == nil && (wait == 0 || workerWait < wait) {
+				wait = workerWait
+			}
+			continue // it would return the run again
+		}
 		runTime := w.estimateRunTime(step, j.estimate(t.step))
 		cost := workerWait + runTime + w.utilizationCost() + time.Duration(m.random.Int63n(int64(maxRandomCost)))
 		if w.info.Sidecar.Zone != m.cfg.Zone {
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -96,6 +96,9 @@
 	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom { // after work.Outdated, an earlier submission may have run
 		j.mayHaveRun = true
 	}
+	if e.Outcome != work.NotRun && e.Outcome != work.NoRoom {
+		t.returns = 0
+	}
 	m.recordCrash(now, t, w, e)
 	if j.answered {
 		m.removeIfEnded(j)
@@ -108,7 +111,7 @@
 		return
 	case work.RunFailed:
 		t.failures++
-		t.avoidedWorkers = append(t.avoidedWorkers, w)
+		t.avoid(w)
 		if t.failures >= max(j.spec.MaxFailedRuns, 1) {
 			m.answer(now, j, work.Answer{State: work.Failed, Reason: work.ReasonMaxFailedRuns})
 			return
@@ -121,13 +124,19 @@
 	case work.NoRoom:
 		t.noRoomEnds++
 		j.stats.NoRoomEnds++
+		if m.delayRetry(now, t) {
+			return
+		}
 		if j.notRun() {
 			m.replan(now, j)
 			return
 		}
 	case work.NotRun:
 		t.notRunEnds++
-		t.avoidedWorkers = append(t.avoidedWorkers, w)
+		t.avoid(w)
+		if m.delayRetry(now, t) {
+			return
+		}
 		if !j.mayHaveRun {
 			// Other runs of the job may end without having started, too.
 			j.retryAt = now + settleDelay
@@ -135,11 +144,34 @@
 			return
 		}
 	default:
-		t.avoidedWorkers = append(t.avoidedWorkers, w)
+		t.avoid(w)
 	}
 	m.placeReadyTasks(now, j)
 }
 
+const (
+	// maxPromptReturns is the number of runs in a row that end without having started before
+	// the task waits for its next one. minRetryDelay is that wait, which doubles with each
+	// further such run up to maxRetryDelay.
+	maxPromptReturns = 6
+	minRetryDelay    = 5 * time.Millisecond
+	maxRetryDelay    = 160 * time.Millisecond
+)
+
+// delayRetry counts a run of a task that has ended without having started. It reports whether
+// the task waits before its next run, because the workers have rejected several in a row.
+func (m *Machine) delayRetry(now time.Duration, t *task) bool {
+	t.returns++
+	if t.returns <= maxPromptReturns {
+		return false
+	}
+	doublings := min(t.returns-maxPromptReturns-1, 10)
+	delay := min(minRetryDelay<<doublings, maxRetryDelay)
+	t.job.retryAt = now + delay/2 + time.Duration(m.random.Int63n(int64(delay/2)))
+	m.addWaiting(t.job)
+	return true
+}
+
 // settleDelay is the delay before a job that is not known to have run places its
 // unstarted tasks again. In the meantime the ends of its other runs arrive. If none
 // of them has started, the job can still be refused. Tick also uses settleDelay as
