placement: two crashes end a job only if no other job was at work at both, three always

Cause: any two crashes under a task counted against it, whoever else was at work there.

Change: the entry instance keeps which jobs were at work at each crash (decision/crashes). Reports of ends bring the crash with all its tasks, so that the owner does not decide on its own part of it.

--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -247,6 +247,7 @@
 		c.noteClock(now, &req.Load)
 	}
 	b.machine.SetLoad(now, req.Sidecar, req.Load)
+	b.recordCrashes(now, req.Crashes)
 	if !b.machine.RunsEnded(now, req) {
 		event.LogRateLimited(event.ReportIgnored, "sidecar", req.Sidecar.String(), "session", req.Session, "ends", len(req.Ends))
 	}
--- a/internal/decision/crashes/crashes.go
+++ b/internal/decision/crashes/crashes.go
@@ -53,6 +53,8 @@
 	tasks map[work.TaskID]*history
 	// jobs counts the tasks of each job in tasks.
 	jobs map[string]int
+	// suspects counts the tasks that were at work at each crash, by job.
+	suspects map[ID]map[string]int
 	// records holds the added records, the oldest first.
 	records []Record
 	// hash is the exclusive or of the hashes of all crashes under all tasks.
@@ -61,7 +63,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{tasks: map[work.TaskID]*history{}, jobs: map[string]int{}}
+	return &Table{tasks: map[work.TaskID]*history{}, jobs: map[string]int{}, suspects: map[ID]map[string]int{}}
 }
 
 // Add adds a record and returns the part of it that was not known, which is without tasks if
@@ -76,6 +78,7 @@
 		if h := t.historyOf(task); !slices.Contains(h.crashes, r.ID) {
 			h.crashes = append(h.crashes, r.ID)
 			t.hash ^= hashOf(r.ID, task, true)
+			t.addSuspect(r.ID, task.Job)
 			t.removeUncertain(h, r.ID, task)
 			added.Tasks = append(added.Tasks, task)
 		}
@@ -126,6 +129,7 @@
 	if i := slices.Index(h.crashes, id); i >= 0 {
 		h.crashes = slices.Delete(h.crashes, i, i+1)
 		t.hash ^= hashOf(id, task, true)
+		t.removeSuspect(id, task.Job)
 	}
 	if len(h.crashes)+len(h.uncertain) > 0 {
 		return
@@ -143,6 +147,59 @@
 	}
 }
 
+func (t *Table) addSuspect(id ID, job string) {
+	if t.suspects[id] == nil {
+		t.suspects[id] = map[string]int{}
+	}
+	t.suspects[id][job]++
+}
+
+func (t *Table) removeSuspect(id ID, job string) {
+	jobs := t.suspects[id]
+	if jobs[job]--; jobs[job] <= 0 {
+		delete(jobs, job)
+	}
+	if len(jobs) == 0 {
+		delete(t.suspects, id)
+	}
+}
+
+// OnlySuspect reports whether there are two crashes under a task at which no other job was at
+// work both times.
+func (t *Table) OnlySuspect(task work.TaskID) bool {
+	h := t.tasks[task]
+	if h == nil {
+		return false
+	}
+	for i, a := range h.crashes {
+		for _, b := range h.crashes[:i] {
+			if t.onlyCommon(a, b) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// onlyCommon reports whether only one job was at work at both of two crashes.
+func (t *Table) onlyCommon(a, b ID) bool {
+	common := 0
+	for job := range t.suspects[a] {
+		if t.suspects[b][job] > 0 {
+			common++
+		}
+	}
+	return common == 1
+}
+
+// CrashesUnder returns the crashes under a task. The caller must not change them.
+func (t *Table) CrashesUnder(task work.TaskID) []ID {
+	if h := t.tasks[task]; h != nil {
+		return h.crashes
+	}
+	return nil
+}
+
 // hashOf returns the hash of a crash under a task.
 func hashOf(id ID, task work.TaskID, started bool) uint64 {
 	return xxhash.Sum64String(fmt.Sprint(id.Sidecar, "\x00", id.Incarnation, "\x00", task.Job, "\x00", task.Step, " ", task.Index, " ", started))
--- a/internal/decision/crashes/crashes_test.go
+++ b/internal/decision/crashes/crashes_test.go
@@ -50,6 +50,24 @@
 	}
 }
 
+// Guards against a job that is blamed for two crashes at which another one was at work, too, and
+// against a guilty one that is not.
+func TestOnlySuspect(t *testing.T) {
+	table := NewTable()
+	table.Add(0, record("a", 0, "guilty", "x", "y"))
+	table.Add(0, record("b", 0, "guilty", "x", "z"))
+	if table.OnlySuspect(task("guilty")) || table.OnlySuspect(task("x")) || table.OnlySuspect(task("none")) {
+		t.Error("one of two jobs that were at work at both crashes is the only suspect")
+	}
+	table.Add(0, record("c", 0, "guilty", "z"))
+	if !table.OnlySuspect(task("guilty")) || table.OnlySuspect(task("x")) {
+		t.Error("the job that was at work at all crashes is not the only suspect")
+	}
+	if table.Add(Retention+1, record("d", Retention+1, "other")); len(table.suspects) != 1 {
+		t.Errorf("suspects of %d crashes, want 1", len(table.suspects))
+	}
+}
+
 // Guards against a memory that grows without bound, or forgets the newest crashes first.
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
--- a/internal/decision/placement/crash.go
+++ b/internal/decision/placement/crash.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		known, uncertain := m.crashes.Count(t.id())
-		if known >= m.cfg.MaxCrashes {
+		if known >= m.cfg.MaxCrashes || m.crashes.OnlySuspect(t.id()) {
 			return work.Answer{State: work.Failed, Reason: work.ReasonCrashes}, true
 		}
 		exhausted = exhausted || known+uncertain >= maxPossibleCrashes
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -42,8 +42,8 @@
 	// even if its sidecar has failed, because their leases have expired.
 	DefaultLeaseTimeout = 2 * time.Second
 	// DefaultMaxCrashes is the number of workers that may crash under a task before its job
-	// fails.
-	DefaultMaxCrashes = 2
+	// fails. Two suffice if no other job was at work both times.
+	DefaultMaxCrashes = 3
 )
 
 // Config holds the settings of a Machine. Zero values select the defaults above.
@@ -56,7 +56,8 @@
 	// have ended. IsolationTimeout is the time without a message from any sidecar after which all
 	// jobs are abandoned.
 	HeartbeatTimeout, IdleTimeout, LeaseTimeout, IsolationTimeout time.Duration
-	// MaxCrashes is the number of workers that may crash under a task before its job fails.
+	// MaxCrashes is the number of workers that may crash under a task before its job fails,
+	// also if other jobs may have caused the crashes.
 	MaxCrashes int
 }
 
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -121,6 +121,8 @@
 	now := r.lockAndDropSilentOwners()
 	for len(o.pendingEnds) > 0 && o.Live() && r.ctx.Err() == nil {
 		batch := wire.EndBatch{Entry: o.process, Sidecar: r.self.Process, Session: o.Session(), FirstEnd: o.ackedEnds + 1, Ends: o.pendingEnds[:len(o.pendingEnds):len(o.pendingEnds)], Load: r.load(now, o)}
+		unconfirmed, _ := r.crashes.After(now, o.client.confirmedCrashes)
+		batch.Crashes = wire.NewCrashRecords(now, unconfirmed)
 		sentAt, session := now, o.Session()
 		r.mu.Unlock()
 		var reply wire.EndReply
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -133,6 +133,9 @@
 	FirstEnd uint64   `msgpack:"f,omitempty"`
 	Ends     []RunEnd `msgpack:"n"`
 	Load     Load     `msgpack:"l"`
+	// Crashes are as in RunnerHeartbeat, so that the owner knows what else was at work when
+	// it learns that a run has ended with a crash.
+	Crashes []CrashRecord `msgpack:"c,omitempty"`
 }
 
 // EndReply acknowledges an EndBatch.
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -44,6 +44,9 @@
 			return errors.NotValidf("end of run %+v: %v after %d ms", e.Run, e.Outcome, e.RunMs)
 		}
 	}
+	if err := validateCrashes(b.Crashes); err != nil {
+		return err
+	}
 	return b.Load.Validate()
 }
 
