broker: exchanges compare crashes only for ten seconds after a start or a new crash

What callers saw: nothing; found by reading. After more than 64 crashes a restarted entry instance remembers fewer than its peers for up to ten minutes, so its hash differs and each exchange, about nine a second, would bring 64 records (some 35 KB) again: 300 KB/s, above the 20 KB/s of control that the design allows.

Change: an instance asks for the comparison only within 10 s after its start or after a crash that was new to it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -69,10 +69,12 @@
 	// untold are the crashes for the peers of the next two rounds of exchanges, and toldOnce
 	// those for the peers of the next one.
 	untold, toldOnce []crashes.Record
-	pulling          bool // a configuration is read from a peer, or will be soon
-	nextTick         time.Duration
-	loggedReady      bool // the readiness in the last log entry about it
-	tickTimer        *time.Timer
+	// compareUntil is the time until which exchanges compare what the peers remember.
+	compareUntil time.Duration
+	pulling      bool // a configuration is read from a peer, or will be soon
+	nextTick     time.Duration
+	loggedReady  bool // the readiness in the last log entry about it
+	tickTimer    *time.Timer
 
 	// announce ends the delay before the next round of exchanges.
 	announce chan struct{}
@@ -113,6 +115,7 @@
 		event.LogRateLimited(event.RPCFrameRejected, "peer", peer, "err", err)
 	}
 	b.updateMembers()
+	b.compareUntil = clock.SinceBoot() + compareTime
 	if err := b.rpcServer.Register(wire.ServiceBroker, &rpcService{b}); err != nil {
 		b.listener.Close()
 		return nil, errors.Trace(err)
--- a/internal/broker/crash.go
+++ b/internal/broker/crash.go
@@ -14,6 +14,10 @@
 	// maxUntold bounds the crashes that wait for a round of exchanges. The oldest are left
 	// out: peers hear of most crashes from the sidecars.
 	maxUntold = 64
+	// compareTime is the time from the start, and from the newest crash, for which exchanges
+	// compare what the peers remember. Instances that remember too much to send it in one reply
+	// would otherwise send a part of it with each exchange.
+	compareTime = 10 * time.Second
 	// maxCrashesInReply bounds the crashes for an entry instance that remembers others.
 	maxCrashesInReply = 64
 )
@@ -27,6 +31,7 @@
 	}
 	b.untold = append(b.untold, records...)
 	b.untold = b.untold[max(0, len(b.untold)-maxUntold):]
+	b.compareUntil = clock.SinceBoot() + compareTime
 	b.startRound()
 }
 
@@ -37,10 +42,10 @@
 	return next
 }
 
-// crashesUnless returns the newest of the remembered crashes, or none if all of them together
-// have the given hash; mu is held.
-func (b *Broker) crashesUnless(hash uint64) []wire.CrashRecord {
-	if b.machine.CrashesHash() == hash {
+// crashesFor returns the newest of the remembered crashes for a peer that compares them, unless
+// it remembers the same; mu is held.
+func (b *Broker) crashesFor(req *wire.ConfigExchangeRequest) []wire.CrashRecord {
+	if !req.CompareCrashes || b.machine.CrashesHash() == req.CrashesHash {
 		return nil
 	}
 	all := b.machine.Crashes()
--- a/internal/broker/sidecarclient.go
+++ b/internal/broker/sidecarclient.go
@@ -268,7 +268,7 @@
 		b.recordCrashes(now, req.Crashes)
 		b.runMachine(now)
 	}
-	reply.Crashes = b.crashesUnless(req.CrashesHash)
+	reply.Crashes = b.crashesFor(req)
 	b.addPeer(req.From)
 	if req.Version > reply.Version {
 		b.pullFrom(req.From.Address)
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -210,9 +210,10 @@
 	MembersHash uint64 `msgpack:"h,omitempty"`
 	// Crashes are crashes of which the sender has heard since its last round of exchanges.
 	Crashes []CrashRecord `msgpack:"c,omitempty"`
-	// CrashesHash is the hash of the crashes that the sender remembers. Senders of earlier
-	// releases remember none.
-	CrashesHash uint64 `msgpack:"a,omitempty"`
+	// CrashesHash is the hash of the crashes that the sender remembers. CompareCrashes asks for
+	// those of the receiver if it remembers others.
+	CrashesHash    uint64 `msgpack:"a,omitempty"`
+	CompareCrashes bool   `msgpack:"o,omitempty"`
 }
 
 // ConfigExchangeReply is the reply to a ConfigExchangeRequest.
@@ -225,7 +226,7 @@
 	// Members and MembersHash are as in RunnerHeartbeatReply.
 	Members     []Peer `msgpack:"l,omitempty"`
 	MembersHash uint64 `msgpack:"h,omitempty"`
-	// Crashes are the newest crashes that the sender remembers, unless it remembers the same
-	// as the sender of the request.
+	// Crashes are the newest crashes that the sender remembers, if the request compares them
+	// and its sender remembers others.
 	Crashes []CrashRecord `msgpack:"c,omitempty"`
 }
