placement: a job is called failed only after three crashes under a task

Cause, by the workers' records that the check prints: the run at the other worker had ended, done, a few milliseconds before the crash. A status request was waiting, but the worker's reply never left. No margin excludes that.

Change: two crashes with no other job at work at both end the job as unfinished, not failed; three end it as failed, of which one may be counted wrongly. A repeated submission gets the same answer at once. The budget is unchanged: no start after two or three.

--- a/internal/decision/placement/crash.go
+++ b/internal/decision/placement/crash.go
@@ -56,7 +56,8 @@
 func (m *Machine) CrashesHash() uint64 { return m.crashes.Hash() }
 
 // crashAnswer returns the answer to a job that ends because of the crashes under its tasks,
-// and whether it does.
+// and whether it does. The job is failed only after MaxCrashes, because the end of a run may
+// have been on its way when its worker crashed, so that one crash may be counted wrongly.
 func (m *Machine) crashAnswer(j *job) (work.Answer, bool) {
 	if !m.crashes.KnowsJob(j.spec.ID) {
 		return work.Answer{}, false
@@ -68,10 +69,10 @@
 			continue
 		}
 		known, uncertain := m.crashes.Count(t.id())
-		if known >= m.cfg.MaxCrashes || m.crashes.OnlySuspect(t.id()) {
+		if known >= m.cfg.MaxCrashes {
 			return work.Answer{State: work.Failed, Reason: work.ReasonCrashes}, true
 		}
-		exhausted = exhausted || known+uncertain >= maxPossibleCrashes
+		exhausted = exhausted || known+uncertain >= maxPossibleCrashes || m.crashes.OnlySuspect(t.id())
 	}
 	return work.Answer{State: work.Unfinished, Reason: work.ReasonCrashes}, exhausted
 }
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -42,7 +42,7 @@
 	// even if its sidecar has failed, because their leases have expired.
 	DefaultLeaseTimeout = 2 * time.Second
 	// DefaultMaxCrashes is the number of workers that may crash under a task before its job
-	// fails. Two suffice if no other job was at work both times.
+	// fails. After two, it ends as unfinished if no other job was at work both times.
 	DefaultMaxCrashes = 3
 )
 
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -9,7 +9,7 @@
 	}
 	JobRefused = &Event{
 		Number: 8002, Severity: Info, Name: "job refused",
-		Meaning: "A job was refused; no task of the job has run or will run. For the reason `already under way`, an earlier job with the same id has not ended; its tasks may have run.",
+		Meaning: "A job was refused; no task of the job has run or will run. For the reason `already under way`, an earlier job with the same id has not ended; its tasks may have run. For the reason `workers crash under a task`, the tasks of an earlier submission have run; the state is failed after three certain crashes under a task, and unfinished before.",
 		Action:  "For the reason overload, check the queued work of the service; for other reasons, check the request.",
 	}
 	RunEndedBadly = &Event{
