--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -158,8 +158,9 @@
 	maxRetryDelay    = 160 * time.Millisecond
 )
 
-// delayRetry counts a run of a task that has ended without having started. It reports whether
-// the task waits before its next run, because the workers have rejected several in a row.
+// delayRetry counts a run of a task that has ended without having started, or for which there was
+// no worker. It reports whether the task waits before its next run, because there were several in
+// a row.
 func (m *Machine) delayRetry(now time.Duration, t *task) bool {
 	t.returns++
 	if t.returns <= maxPromptReturns {
