--- a/review/_standin/foreign.go
+++ b/review/_standin/foreign.go
@@ -14,7 +14,7 @@
 func foreignCase(s *site, trouble bool) (broken []string, err error) {
 	s.configure("/deposits/")
 	for range 3 {
-		if err := s.startEntry(0); err != nil {
+		if err := s.startEntry(); err != nil {
 			return nil, err
 		}
 	}
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -71,8 +71,6 @@
 	entries []*process
 	sides   []*machine
 	version int
-	// storeHost is the number of the host at which the processes call the store.
-	storeHost int
 
 	mu     sync.Mutex
 	closed bool
@@ -93,7 +91,7 @@
 		return nil, err
 	}
 	pid := os.Getpid()
-	s := &site{rec: rec, dir: dir, storeHost: 1, net: fmt.Sprintf("127.%d.%d", 64+pid/200%128, 1+pid%200)}
+	s := &site{rec: rec, dir: dir, net: fmt.Sprintf("127.%d.%d", 64+pid/200%128, 1+pid%200)}
 	if s.store, err = standin.NewStore(s.address(1, storePort)); err != nil {
 		os.RemoveAll(dir)
 		return nil, err
@@ -122,20 +120,19 @@
 	return map[string]any{
 		"instance": name, "zone": "z1", "host": s.host(host), "internalPort": internalPort, "metricsPort": metricsPort,
 		"seeds": []string{s.address(entryHost, controlPlanePort), s.address(entryHost+1, controlPlanePort)},
-		"store": s.address(s.storeHost, storePort), "grace": "6s",
+		"store": s.address(1, storePort), "grace": "6s",
 	}
 }
 
 func (s *site) entryAddress(i int) string { return s.address(entryHost+i, frontendPort) }
 
-// startEntry starts the next entry instance. maxFiles bounds its descriptors; zero means no
-// bound beyond that of the caller.
-func (s *site) startEntry(maxFiles int) error {
+// startEntry starts the next entry instance.
+func (s *site) startEntry() error {
 	i := len(s.entries)
 	set := s.common(fmt.Sprint("frontend-", i+1), entryHost+i)
 	set["memoryMB"] = 284
 	set["callerAddress"], set["readyAddress"], set["applyWithin"] = s.entryAddress(i), s.address(entryHost+i, readyPort), "2000ms"
-	p, err := s.startProcess(fmt.Sprint("frontend-", i+1), "entry", maxFiles, map[string]any{"broker": set})
+	p, err := s.startProcess(fmt.Sprint("frontend-", i+1), "entry", map[string]any{"broker": set})
 	if err != nil {
 		return err
 	}
@@ -154,7 +151,7 @@
 	if err := s.startWorker(m, 0); err != nil {
 		return err
 	}
-	p, err := s.startProcess(fmt.Sprint("side-", i+1), "sidecar", 0, map[string]any{"runner": set})
+	p, err := s.startProcess(fmt.Sprint("side-", i+1), "sidecar", map[string]any{"runner": set})
 	if err != nil {
 		return err
 	}
@@ -200,7 +197,6 @@
 // process is one of the project's processes. It is started again when it ends.
 type process struct {
 	name, path, role string
-	maxFiles         int
 	log              *os.File
 	mu               sync.Mutex
 	cmd              *exec.Cmd
@@ -209,12 +205,12 @@
 	done             chan struct{}
 }
 
-func (s *site) startProcess(name, role string, maxFiles int, settings any) (*process, error) {
+func (s *site) startProcess(name, role string, settings any) (*process, error) {
 	text, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, role: role, maxFiles: maxFiles, path: filepath.Join(s.dir, name+".json"), done: make(chan struct{})}
+	p := &process{name: name, role: role, path: filepath.Join(s.dir, name+".json"), done: make(chan struct{})}
 	if err := os.WriteFile(p.path, text, 0o600); err != nil {
 		return nil, err
 	}
@@ -238,9 +234,6 @@
 		return os.ErrClosed
 	}
 	cmd := exec.Command(program, p.role)
-	if p.maxFiles > 0 {
-		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s %s", p.maxFiles, program, p.role))
-	}
 	cmd.Env = []string{"CARDAMOMTURN_NODE_FILE=" + p.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
