--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -143,15 +143,11 @@
 // startSide starts the next side machine with a worker of the given capacity and labels.
 func (s *site) startSide(milliCPU int64, labels ...string) error {
 	i := len(s.sides)
-	host := sideHost + i
-	set := s.common(fmt.Sprint("side-", i+1), host)
-	set["memoryMB"], set["reportAddress"], set["workerAddress"] = 152, s.address(host, controlPlanePort), s.address(host, workerPort)
-	set["maxLease"], set["reportInterval"] = "1000ms", "1500ms"
-	m := &machine{addr: s.host(host), worker: &standin.Worker{ID: fmt.Sprint("i-", i+1), Service: service, Zone: "z1", MilliCPU: milliCPU, MemoryMB: 262144, Labels: labels}}
+	m := &machine{addr: s.host(sideHost + i), worker: &standin.Worker{ID: fmt.Sprint("i-", i+1), Service: service, Zone: "z1", MilliCPU: milliCPU, MemoryMB: 262144, Labels: labels}}
 	if err := s.startWorker(m, 0); err != nil {
 		return err
 	}
-	p, err := s.startProcess(fmt.Sprint("side-", i+1), "sidecar", map[string]any{"runner": set})
+	p, err := s.startSidecar(i)
 	if err != nil {
 		return err
 	}
@@ -160,6 +156,15 @@
 	return nil
 }
 
+// startSidecar starts the sidecar of the side machine with the given index.
+func (s *site) startSidecar(i int) (*process, error) {
+	host, name := sideHost+i, fmt.Sprint("side-", i+1)
+	set := s.common(name, host)
+	set["memoryMB"], set["reportAddress"], set["workerAddress"] = 152, s.address(host, controlPlanePort), s.address(host, workerPort)
+	set["maxLease"], set["reportInterval"] = "1000ms", "1500ms"
+	return s.startProcess(name, "sidecar", map[string]any{"runner": set})
+}
+
 // startWorker starts a life of a worker, which sends its first heartbeat after a delay.
 func (s *site) startWorker(m *machine, firstHeartbeat time.Duration) error {
 	if err := m.worker.Start(fmt.Sprintf("%s:%d", m.addr, workerPort)); err != nil {
@@ -201,7 +206,6 @@
 	mu               sync.Mutex
 	cmd              *exec.Cmd
 	closing          bool
-	ownEnds          int // times that the process has ended by itself
 	done             chan struct{}
 }
 
@@ -250,9 +254,6 @@
 		err := p.cmd.Wait()
 		p.mu.Lock()
 		closing := p.closing
-		if !closing {
-			p.ownEnds++
-		}
 		p.mu.Unlock()
 		if closing {
 			return
@@ -274,12 +275,6 @@
 	return string(bytes.TrimSpace(text[max(0, len(text)-most):]))
 }
 
-func (p *process) ends() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ownEnds
-}
-
 func (s *site) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -374,11 +369,3 @@
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4}}
 }
-
-// sidecars returns the processes on the side machines.
-func (s *site) sidecars() (list []*process) {
-	for _, m := range s.sides {
-		list = append(list, m.process)
-	}
-	return list
-}
