--- a/review/_standin/config.go
+++ b/review/_standin/config.go
@@ -28,25 +28,14 @@
 	if err := s.waitReady(); err != nil {
 		return nil, err
 	}
-	factor := 1.6
+	factor := usualFactor
 	if trouble {
-		factor = 150 // jobs with a task of 60 ms are due within 9 s
+		factor = largeFactor
 	}
-	version := s.version + 3
-	route := func(name, prefix string, rank int, factor float64) map[string]any {
-		return map[string]any{"name": name, "host": httpHost, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 1500,
-			"target_duration_ms": 60, "priority": rank, "service": service, "max_attempts": 3, "slack_factor": factor}
-	}
-	text, err := json.Marshal(map[string]any{"version": version,
-		"routes":   []any{route("r-deposits", "/deposits/", 0, 1.6), route("r-statements", "/statements/", 2, factor)},
-		"services": []any{map[string]any{"name": service, "max_connections": 64, "admission_check": false, "standby": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
-	if err != nil {
+	if err := s.addQueue(factor); err != nil {
 		return nil, err
 	}
-	s.store.Put("op/config", string(text))
 	acked := time.Now()
-	s.rec.printf("operator: %s", text)
 	time.Sleep(applyTime + 500*time.Millisecond)
 	refused := make([]int, len(s.entries))
 	client := newClient()
@@ -69,3 +58,29 @@
 	}
 	return broken, nil
 }
+
+// usualFactor is the slack_factor of the site's queues. With largeFactor, jobs with a task of 60 ms
+// are due within 9 s.
+const (
+	usualFactor = 1.6
+	largeFactor = 150.0
+)
+
+// addQueue writes a configuration that has one more queue, with the given slack_factor.
+func (s *site) addQueue(factor float64) error {
+	s.version += 3
+	route := func(name, prefix string, rank int, factor float64) map[string]any {
+		return map[string]any{"name": name, "host": httpHost, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 1500,
+			"target_duration_ms": 60, "priority": rank, "service": service, "max_attempts": 3, "slack_factor": factor}
+	}
+	text, err := json.Marshal(map[string]any{"version": s.version,
+		"routes":   []any{route("r-deposits", "/deposits/", 0, usualFactor), route("r-statements", "/statements/", 2, factor)},
+		"services": []any{map[string]any{"name": service, "max_connections": 64, "admission_check": false, "standby": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+	if err != nil {
+		return err
+	}
+	s.store.Put("op/config", string(text))
+	s.rec.printf("operator: %s", text)
+	return nil
+}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -15,6 +15,7 @@
 type caseFunc func(s *site, trouble bool) (broken []string, err error)
 
 var cases = map[string]caseFunc{
+	"recover": recoverCase,
 	"config":  configCase,
 	"cancel":  cancelCase,
 	"kind":    kindCase,
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -258,7 +258,7 @@
 		if closing {
 			return
 		}
-		s.rec.printf("process %s has ended by itself: %v; last lines of its log: %s", p.name, err, lastLines(p.log.Name()))
+		s.rec.printf("process %s has ended: %v; last lines of its log: %s", p.name, err, lastLines(p.log.Name()))
 		time.Sleep(restartDelay)
 		if p.start() != nil {
 			return
