review: case 3 also shows starts after the cancelling

The cancelled jobs have a second step, whose tasks start 3.5 s after the answer to DELETE; 3 s are allowed.

--- a/review/_standin/cancel.go
+++ b/review/_standin/cancel.go
@@ -9,7 +9,8 @@
 	"github.com/cardamomturn/cardamomturn/platform/standin"
 )
 
-// cancelCase cancels jobs that run, and looks for tasks that run on after the time for that.
+// cancelCase cancels jobs that run, and looks for tasks that run on, or start, after the time for
+// that.
 func cancelCase(s *site, trouble bool) (broken []string, err error) {
 	s.configure("/deposits/")
 	for range 3 {
@@ -25,16 +26,20 @@
 	if err := s.waitReady(); err != nil {
 		return nil, err
 	}
-	const taskTime = 7 * time.Second
+	const taskTime = 4500 * time.Millisecond
 	task := standin.Task{RunMs: taskTime.Milliseconds(), MilliCPU: 6200}
+	first := step{Count: 2, CPU: 6200, MemoryMB: 64, EstimatedMs: taskTime.Milliseconds()}
+	second := first
+	second.After = []int{0}
+	body := jobBody(task, first, second)
 	const jobs, cancels = 10, 3
 	ids := make([]string, jobs)
 	answers := make(chan string, jobs)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("ca0000000000000%d", i)
 		go func() {
-			s.rec.printf("client: POST of job %s, 2 tasks of %v, to entry %d", ids[i], taskTime, i%3)
-			status, text := s.call(newClient(), http.MethodPost, i%3, "/deposits/"+ids[i], jobBody(task, step{Count: 2, CPU: 6200, MemoryMB: 64, EstimatedMs: taskTime.Milliseconds()}), 12*time.Second)
+			s.rec.printf("client: POST of job %s, two steps of 2 tasks of %v each, to entry %d", ids[i], taskTime, i%3)
+			status, text := s.call(newClient(), http.MethodPost, i%3, "/deposits/"+ids[i], body, 12*time.Second)
 			answers <- fmt.Sprintf("job %s answered with %d %s", ids[i], status, text)
 		}()
 	}
@@ -63,6 +68,9 @@
 			if !ok {
 				continue
 			}
+			if r.Start.After(at.Add(cancelTime)) {
+				broken = append(broken, fmt.Sprintf("UNASKED: task %s started %v after the cancelling of its job was acknowledged, allowed are %v", r.Task, r.Start.Sub(at).Round(time.Millisecond), cancelTime))
+			}
 			if end := at.Add(cancelTime + stopTimeout); r.End.IsZero() || r.End.After(end) {
 				broken = append(broken, fmt.Sprintf("UNASKED: task %s ran until %v after the cancelling of its job was acknowledged, allowed are %v", r.Task, r.End.Sub(at).Round(time.Millisecond), cancelTime+stopTimeout))
 			}
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -332,6 +332,7 @@
 	CPU          int64  `json:"cpu"`
 	MemoryMB     int64  `json:"memory_request_mb"`
 	EstimatedMs  int64  `json:"estimated_ms"`
+	After        []int  `json:"after,omitempty"`
 	Requirements string `json:"requirements,omitempty"`
 }
 
