--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"sort"
 	"strings"
 	"sync"
 	"syscall"
@@ -398,16 +398,19 @@
 }
 
 // recordRuns writes the runs to the record: those of the jobs in detail, of the others the number
-// by job, worker and end.
+// by worker and end.
 func (s *site) recordRuns(detailed ...string) {
-	counts := map[string]int{}
+	counts := map[string]map[string]int{} // by job, then by worker and end
 	for _, r := range s.hist.all() {
 		job, _, _ := strings.Cut(r.task, ".")
 		if r.how == "" {
 			r.how = "at work"
 		}
 		if !slices.Contains(detailed, job) {
-			counts[fmt.Sprintf("job %s at %s, %s", job, r.worker, r.how)]++
+			if counts[job] == nil {
+				counts[job] = map[string]int{}
+			}
+			counts[job][r.worker+" "+r.how]++
 			continue
 		}
 		end := "-"
@@ -416,13 +419,8 @@
 		}
 		s.rec.printf("run: %s attempt %d at %s, %.3f s to %s, %s", r.task, r.attempt, r.worker, r.start.Sub(s.rec.since).Seconds(), end, r.how)
 	}
-	var lines []string
-	for k, n := range counts {
-		lines = append(lines, fmt.Sprintf("runs: %s: %d", k, n))
-	}
-	sort.Strings(lines)
-	for _, l := range lines {
-		s.rec.printf("%s", l)
+	for _, job := range slices.Sorted(maps.Keys(counts)) {
+		s.rec.printf("runs of job %s: %v", job, counts[job])
 	}
 }
 
