--- a/review/_standin/config.go
+++ b/review/_standin/config.go
@@ -11,7 +11,8 @@
 func init() { cases["config"] = configCase }
 
 // configCase lets the operator add a queue, whose slack_factor is 150 with the disruption and usual
-// without it. Then all processes are killed and start again. It compares the share of the requests
+// without it, and checks that it is served. Then the operator adds one more queue, and all processes
+// are killed right after that is acknowledged, and start again. The case compares the share of the requests
 // of the first queue that are served before that and later than recovery_s after it.
 func configCase(s *site, trouble bool) ([]string, error) {
 	const (
@@ -29,6 +30,7 @@
 	}
 	s.configure(queue{"/checks/", usualSlack}, queue{"/archive/", slack})
 	added := s.traffic("of the added queue, from 2 s after the acknowledgement on", 0, "/archive/")
+	s.configure(queue{"/checks/", usualSlack}, queue{"/archive/", slack}, queue{"/idle/", usualSlack})
 	s.rec.printf("all processes are killed")
 	for _, p := range s.all {
 		p.signal(syscall.SIGKILL)
