--- a/review/_harness2/kinds.go
+++ b/review/_harness2/kinds.go
@@ -75,5 +75,3 @@
 	wg.Wait()
 	return nil
 }
-
-func playIdle(rec *record) error { return nil }
--- a/review/_harness2/site.go
+++ b/review/_harness2/site.go
@@ -75,7 +75,7 @@
 	entries  []*process
 	sidecars []*process
 	workers  []*worker
-	links    []*link // in front of the internal ports of the entry instances
+	links    []*cutLink // in front of the internal ports of the entry instances
 	// grace of the processes.
 	grace   string
 	version int
@@ -158,7 +158,7 @@
 		c["memoryMB"] = 284
 		if linked {
 			c["advertise"] = s.at(entryHost+i+linkOffset, s.internal)
-			l, err := newLink(s.at(entryHost+i+linkOffset, s.internal), s.at(entryHost+i, s.internal))
+			l, err := newCutLink(s.at(entryHost+i+linkOffset, s.internal), s.at(entryHost+i, s.internal), 0)
 			if err != nil {
 				return err
 			}
--- a/review/_harness2/stress.go
+++ b/review/_harness2/stress.go
@@ -12,79 +12,16 @@
 	"time"
 )
 
-type jobInfo struct {
-	steps []step
-}
-
-// judge checks all rules that hold for best-effort jobs.
-type judge struct {
-	rec  *record
-	mu   sync.Mutex
-	jobs map[string]jobInfo
-	done map[string]bool // task name
-	live map[string]map[*worker]int
-}
-
-func (j *judge) started(w *worker, r *taskRun) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	p := strings.Split(r.task, ".")
-	info, ok := j.jobs[p[0]]
-	k, _ := strconv.Atoi(p[2])
-	if !ok || k >= len(info.steps) {
-		j.rec.violation("UNASKED %s", r.task)
-		return
-	}
-	st := info.steps[k]
-	for _, a := range st.After {
-		for i := range info.steps[a].Count {
-			if !j.done[fmt.Sprintf("%s.0.%d.%d", p[0], a, i)] {
-				j.rec.violation("ORDER %s starts before %d.%d done", r.task, a, i)
-				break
-			}
-		}
-	}
-	if st.Requirements != "" && st.Requirements != w.who.Kind {
-		j.rec.violation("ROUTE label %s on %s", r.task, w)
-	}
-	n := 0
-	for name := range w.running {
-		if strings.HasPrefix(name, p[0]+".0."+p[2]+".") {
-			n++
-		}
-	}
-	if st.AntiAffinity > 0 && n > st.AntiAffinity {
-		j.rec.violation("ROUTE anti_affinity %s: %d on %s, at most %d", r.task, n, w, st.AntiAffinity)
-	}
-	if u := w.used(); u > w.who.CPU {
-		j.rec.violation("LIMIT %s: %d of %d on %s", r.task, u, w.who.CPU, w)
-	}
-	for o := range j.live[r.task] {
-		if o != w && o.up {
-			j.rec.violation("TWICE %s on %s and %s", r.task, o, w)
-		}
-	}
-	if j.live[r.task] == nil {
-		j.live[r.task] = map[*worker]int{}
-	}
-	j.live[r.task][w] = r.attempt
-}
-
-func (j *judge) ended(w *worker, r *taskRun, how string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	delete(j.live[r.task], w)
-	if how == "done" {
-		j.done[r.task] = true
-	}
-}
-
 func playStress(rec *record) error {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	seconds, _ := strconv.Atoi(os.Getenv("SECONDS_"))
 	if seconds == 0 {
 		seconds = 60
 	}
+	idle, _ := strconv.Atoi(os.Getenv("IDLE"))
+	idle = max(idle, 60)
+	entries, _ := strconv.Atoi(os.Getenv("ENTRIES"))
+	entries = max(entries, 3)
 	faults := strings.Split(os.Getenv("FAULTS"), ",")
 	rnd := rand.New(rand.NewSource(seed))
 	s, err := newSite(rec)
@@ -93,10 +30,10 @@
 	}
 	defer s.close()
 	s.configure(queue{"q", "/q/", 0, 3, 1.6, 60}, queue{"r", "/r/", 1, 3, 3, 2000})
-	if err := s.addEntries(3, true); err != nil {
+	if err := s.addEntries(entries, true); err != nil {
 		return err
 	}
-	j := &judge{rec: rec, jobs: map[string]jobInfo{}, done: map[string]bool{}, live: map[string]map[*worker]int{}}
+	j := newJudge(rec)
 	ids := make([]identity, 8)
 	for i := range ids {
 		ids[i] = identity{fmt.Sprint("i-", i), int64(16000 + 8000*(i%2)), []string{"a", "a", "b"}[i%3], fmt.Sprint("r1-", i/3), 65536}
@@ -128,18 +65,20 @@
 				}
 				id := newID()
 				j.mu.Lock()
-				j.jobs[id] = jobInfo{steps}
+				j.jobs[id] = &jobInfo{steps: steps}
 				j.mu.Unlock()
 				body := job{encodeSpec(spec{Ms: ms, CPU: 2000, Label: label}), steps, true}
 				deadline := time.Duration(1500+rnd.Intn(4000)) * time.Millisecond
 				end := time.Now().Add(deadline)
 				leaves := rnd.Intn(8) == 0
+				var statuses []int
 				for try := 0; try < 4; try++ {
 					left := time.Until(end)
 					if leaves {
 						left = min(left, time.Duration(rnd.Intn(600))*time.Millisecond)
 					}
-					status, _ := s.submit(rnd.Intn(3), "/q/", id, body, max(left, time.Millisecond))
+					status, _ := s.submit(rnd.Intn(entries), "/q/", id, body, max(left, time.Millisecond))
+					statuses = append(statuses, status)
 					n, _ := answers.LoadOrStore(status, new(int))
 					j.mu.Lock()
 					*(n.(*int))++
@@ -150,7 +89,8 @@
 					time.Sleep(1300 * time.Millisecond)
 					end = time.Now().Add(deadline)
 				}
-				time.Sleep(time.Duration(rnd.Intn(60)) * time.Millisecond)
+				j.answered(id, statuses)
+				time.Sleep(time.Duration(rnd.Intn(idle)) * time.Millisecond)
 			}
 		})
 	}
@@ -177,12 +117,12 @@
 			time.Sleep(dur / 3)
 			_ = p.start()
 		case "entry":
-			p := s.entries[rnd.Intn(3)]
+			p := s.entries[rnd.Intn(entries)]
 			p.kill()
 			time.Sleep(dur / 3)
 			_ = p.start()
 		case "freezeentry", "freezesidecar":
-			p := s.entries[rnd.Intn(3)]
+			p := s.entries[rnd.Intn(entries)]
 			if f == "freezesidecar" {
 				p = s.sidecars[rnd.Intn(len(ids))]
 			}
@@ -190,10 +130,11 @@
 			time.Sleep(dur)
 			p.signal(syscall.SIGCONT)
 		case "silent":
-			rec.add("silence %d connections", s.links[rnd.Intn(3)].silence())
+			l := s.links[rnd.Intn(entries)]
+			l.setCut(true)
+			time.AfterFunc(dur, func() { l.setCut(false) })
 		case "drop":
-			l := s.links[rnd.Intn(3)]
-			l.reset()
+			s.links[rnd.Intn(entries)].reset()
 		case "late":
 			i := rnd.Intn(len(ids))
 			s.workers[i].setLate(0.5)
@@ -205,6 +146,15 @@
 	}
 	stop()
 	wg.Wait()
+	time.Sleep(3 * time.Second)
+	j.final()
+	for _, p := range append(append([]*process{}, s.entries...), s.sidecars...) {
+		select {
+		case <-p.done:
+			rec.violation("Fault: process %s has ended by itself", p.name)
+		default:
+		}
+	}
 	answers.Range(func(k, v any) bool { fmt.Print(k, ":", *(v.(*int)), " "); return true })
 	fmt.Println()
 	return nil
