--- a/review/_harness2/stress.go
+++ b/review/_harness2/stress.go
@@ -20,6 +20,7 @@
 	}
 	idle, _ := strconv.Atoi(os.Getenv("IDLE"))
 	idle = max(idle, 60)
+	big := os.Getenv("BIG") != ""
 	entries, _ := strconv.Atoi(os.Getenv("ENTRIES"))
 	entries = max(entries, 3)
 	faults := strings.Split(os.Getenv("FAULTS"), ",")
@@ -57,7 +58,11 @@
 				ms := int64(40 + rnd.Intn(400))
 				var steps []step
 				for k := range 1 + rnd.Intn(3) {
-					st := step{Count: 1 + rnd.Intn(5), CPU: 2000, Memory: 64, EstimatedMs: ms, AntiAffinity: rnd.Intn(3), Requirements: label}
+					count, cpu := 1+rnd.Intn(5), int64(2000)
+					if big {
+						count, cpu = 1+rnd.Intn(150), 200
+					}
+					st := step{Count: count, CPU: cpu, Memory: 64, EstimatedMs: ms, AntiAffinity: affinity(rnd, big), Requirements: label}
 					if k > 0 {
 						st.After = []int{rnd.Intn(k)}
 					}
@@ -67,7 +72,7 @@
 				j.mu.Lock()
 				j.jobs[id] = &jobInfo{steps: steps}
 				j.mu.Unlock()
-				body := job{encodeSpec(spec{Ms: ms, CPU: 2000, Label: label}), steps, true}
+				body := job{encodeSpec(spec{Ms: ms, CPU: steps[0].CPU, Label: label}), steps, true}
 				deadline := time.Duration(1500+rnd.Intn(4000)) * time.Millisecond
 				end := time.Now().Add(deadline)
 				leaves := rnd.Intn(8) == 0
@@ -159,3 +164,10 @@
 	fmt.Println()
 	return nil
 }
+
+func affinity(rnd *rand.Rand, big bool) int {
+	if big {
+		return 40 * rnd.Intn(3)
+	}
+	return rnd.Intn(3)
+}
--- a/review/_harness2/worker.go
+++ b/review/_harness2/worker.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -88,10 +90,10 @@
 	w.running, w.highest, w.finished = map[string]*taskRun{}, map[string]int{}, nil
 	w.changed, w.life = make(chan struct{}), make(chan struct{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /cardamomturn/run-start", w.handle(w.runStart))
-	mux.HandleFunc("POST /cardamomturn/run-stop", w.handle(w.runStop))
-	mux.HandleFunc("POST /cardamomturn/hold", w.hold)
-	w.server = &http.Server{Handler: mux}
+	mux.HandleFunc("POST /cardamomturn/run-start", w.handle(w.life, w.runStart))
+	mux.HandleFunc("POST /cardamomturn/run-stop", w.handle(w.life, w.runStop))
+	mux.HandleFunc("POST /cardamomturn/hold", w.hold(w.life))
+	w.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
 	go func(s *http.Server) { _ = s.Serve(lis) }(w.server)
 	go w.work(w.life)
 	go w.beats(w.life, firstBeat)
@@ -175,6 +177,10 @@
 		case <-ticker.C:
 		}
 		w.mu.Lock()
+		if ended(life) {
+			w.mu.Unlock()
+			return
+		}
 		now := time.Now()
 		for _, r := range w.running {
 			switch {
@@ -221,8 +227,18 @@
 	_ = json.NewEncoder(rw).Encode(body)
 }
 
-// handle decodes an order and answers it.
-func (w *worker) handle(do func(o order) (int, map[string]any)) http.HandlerFunc {
+// ended reports whether the process that a call has reached has ended; mu is held.
+func ended(life chan struct{}) bool {
+	select {
+	case <-life:
+		return true
+	default:
+		return false
+	}
+}
+
+// handle decodes an order to one process and answers it.
+func (w *worker) handle(life chan struct{}, do func(o order) (int, map[string]any)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, req *http.Request) {
 		var o order
 		if json.NewDecoder(req.Body).Decode(&o) != nil {
@@ -230,23 +246,23 @@
 			return
 		}
 		w.mu.Lock()
+		if ended(life) {
+			w.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if expected := req.Header.Get("Expected-Instance"); expected != "" && expected != w.who.ID {
 			w.mu.Unlock()
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
 		if w.late > 0 && rand.Float64() < w.late {
-			life := w.life
 			w.mu.Unlock()
 			time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() {
-				select {
-				case <-life:
-					return
-				default:
-				}
 				w.mu.Lock()
 				defer w.mu.Unlock()
-				do(o)
+				if !ended(life) {
+					do(o)
+				}
 			})
 			<-req.Context().Done()
 			return
@@ -327,7 +343,7 @@
 		time.AfterFunc(stopTime, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.end(r, "stopped")
+			w.end(r, "stopped") // not if the process has ended
 		})
 	}
 	return http.StatusOK, map[string]any{}
@@ -336,13 +352,22 @@
 // maxListed is the number of ends that one answer lists.
 const maxListed = 500
 
-func (w *worker) hold(rw http.ResponseWriter, req *http.Request) {
+// hold answers the calls to hold that reach one process.
+func (w *worker) hold(life chan struct{}) http.HandlerFunc {
+	return func(rw http.ResponseWriter, req *http.Request) { w.holdAt(life, rw, req) }
+}
+
+func (w *worker) holdAt(life chan struct{}, rw http.ResponseWriter, req *http.Request) {
 	var o order
 	if json.NewDecoder(req.Body).Decode(&o) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	w.mu.Lock()
+	if ended(life) {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if w.fenced(o.FencingToken) {
 		status, body := refusal("fence")
 		body["clock_ms"] = w.clock()
@@ -356,7 +381,7 @@
 	for len(w.finished) > 0 && w.finished[0][0].(uint64) <= o.LastSeen {
 		w.finished = w.finished[1:]
 	}
-	changed, life, wait := w.changed, w.life, len(w.finished) == 0 && o.WaitMs > 0
+	changed, wait := w.changed, len(w.finished) == 0 && o.WaitMs > 0
 	w.mu.Unlock()
 	if wait {
 		select {
@@ -366,6 +391,10 @@
 		}
 	}
 	w.mu.Lock()
+	if ended(life) {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	running := [][]any{}
 	for _, r := range w.running {
 		percent := 100 * time.Since(r.since).Milliseconds() / max(r.spec.Ms, 1)
