--- a/review/_harness2/main.go
+++ b/review/_harness2/main.go
@@ -11,6 +11,7 @@
 // cases plays each case by its name.
 var cases = map[string]func(rec *record) error{
 	"kinds":  playKinds,
+	"idle":   playIdle,
 	"cut":    playCut,
 	"queue":  playQueue,
 	"stress": playStress,
