--- a/review/_harness2/cut.go
+++ b/review/_harness2/cut.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// dropLinks returns an address in front of an entry instance's caller port, whose link is cut with
-// that in front of its internal port.
+// callerLink opens a link in front of an entry instance's caller port, and returns it with its address.
 func (s *site) callerLink(i int) (*cutLink, string, error) {
 	address := s.at(entryHost+i+linkOffset, s.caller)
 	l, err := newCutLink(address, s.at(entryHost+i, s.caller), clientDelay)
--- a/review/_harness2/stress.go
+++ b/review/_harness2/stress.go
@@ -12,6 +12,10 @@
 	"time"
 )
 
+// playStress is no case: it plays random disturbances under random jobs of one to three steps with
+// labels, anti_affinity and clients that leave or repeat their jobs, and checks all rules of best-effort
+// jobs. Variables: SEED, SECONDS_ (60), FAULTS (names below, separated by commas), ENTRIES (3), IDLE (the
+// longest pause of a client in ms) and BIG (up to 150 tasks a step).
 func playStress(rec *record) error {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	seconds, _ := strconv.Atoi(os.Getenv("SECONDS_"))
