runner tests: no state of a sidecar is changed beside the test

newTestClient takes the lock. The supervisor of a silent worker polls it once when it starts, so handleReport now returns after that poll, and the timer of a sidecar under test calls nothing. The same holds for the other tests that read the machine, the supervisor or the load without the lock.

--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -41,6 +41,6 @@
 		r.mu.Lock()
 		r.machine = nil
 		r.mu.Unlock()
-		r.tickTimer.Reset(0)
+		r.tickTimer = time.AfterFunc(0, r.onTimer)
 	})
 }
--- a/internal/runner/description_test.go
+++ b/internal/runner/description_test.go
@@ -22,16 +22,16 @@
 		r := newSilentRunner(t)
 		first := report(1, 1)
 		first.Labels, first.Rack = []string{"a", "r1-1"}, "r1-1"
-		r.HandleReport(first)
+		handleReport(r, first)
 		r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
 		c := newTestClient(r, clock.SinceBoot())
 		chosenBy := r.load(clock.SinceBoot(), c.owner).Description
 		next := first
 		next.Incarnation = 2
 		change(&next)
-		r.HandleReport(next)
+		handleReport(r, next)
 		r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 3})
-		r.HandleReport(next)
+		handleReport(r, next)
 		r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 4})
 		if !r.machine.AcceptsRuns() {
 			t.Fatalf("%s: the worker accepts no runs", name)
--- a/internal/runner/entryclient_test.go
+++ b/internal/runner/entryclient_test.go
@@ -21,6 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	disableTicks(r)
 	t.Cleanup(func() { r.cancel(); r.listener.Close(); r.wg.Wait() })
 	r.machine.SetWorker(now, occupancy.Worker{ID: "w", Incarnation: 1, Capacity: work.Resources{MilliCPU: 1000}})
 	r.machine.SetWorkerAvailable(now, true)
@@ -34,6 +35,8 @@
 	c := &entryClient{runner: r, rpcClient: rpcnet.NewClient(r.Address()), wakeCh: make(chan struct{}, 1)}
 	c.owner = &owner{Owner: ownership.New(session), runner: r, process: ident.Process{Instance: "entry", Incarnation: 1}, client: c}
 	c.owner.HeartbeatAnswered(now, now, session)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.owners[c.owner.process] = c.owner
 	return c
 }
--- a/internal/runner/foreign_report_test.go
+++ b/internal/runner/foreign_report_test.go
@@ -35,7 +35,7 @@
 func TestForeignReport(t *testing.T) {
 	for name, foreign := range foreignReports() {
 		r := newSilentRunner(t)
-		r.HandleReport(report(2, 5))
+		handleReport(r, report(2, 5))
 		s := r.supervisor
 		s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 5})
 		run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
@@ -43,7 +43,7 @@
 		running := StatusReply{Incarnation: 2, ClockMs: 6, Running: []occupancy.Progress{{Run: run, Percent: 1}}}
 		s.handleStatus(clock.SinceBoot(), running)
 		for range 3 {
-			r.HandleReport(foreign)
+			handleReport(r, foreign)
 			s.handleStatus(clock.SinceBoot(), running)
 			foreign.Sequence++
 		}
@@ -52,7 +52,7 @@
 		}
 		own := report(2, 6)
 		own.Capacity.MilliCPU /= 2
-		if r.HandleReport(own); r.report.Capacity != own.Capacity {
+		if handleReport(r, own); r.report.Capacity != own.Capacity {
 			t.Errorf("report %s: the worker's next report does not count", name)
 		}
 	}
@@ -63,13 +63,13 @@
 func TestForeignReportFirst(t *testing.T) {
 	for name, foreign := range foreignReports() {
 		r := newSilentRunner(t)
-		r.HandleReport(foreign)
-		r.HandleReport(report(2, 1))
+		handleReport(r, foreign)
+		handleReport(r, report(2, 1))
 		r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 3}) // only the worker answers
 		if r.report.Address != "127.0.0.1:1" {
 			loseWorker(r) // nobody answers at the other address
 		}
-		r.HandleReport(report(2, 2))
+		handleReport(r, report(2, 2))
 		r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 4})
 		if !r.machine.AcceptsRuns() {
 			t.Errorf("report %s: the worker accepts no runs", name)
@@ -81,10 +81,10 @@
 // arrives before any answer of the new process.
 func TestNextProcessAtAddress(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 5))
+	handleReport(r, report(1, 5))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
-	r.HandleReport(report(2, 1))
+	handleReport(r, report(2, 1))
 	if r.report.Incarnation != 1 {
 		t.Error("a report alone is taken for the proof of a new process")
 	}
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -15,11 +15,11 @@
 // Guards against an old status whose end numbers acknowledge ends of the next process unseen.
 func TestStatusOfExitedProcess(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 9))
+	handleReport(r, report(1, 9))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
 	requestedAt := clock.SinceBoot()
-	r.HandleReport(report(2, 1))
+	handleReport(r, report(2, 1))
 	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
 	s.handleStatus(requestedAt, StatusReply{Incarnation: 1, ClockMs: 480000, NewestEnd: 57, Ended: []occupancy.EndedRun{{Run: run, Outcome: work.Done}}})
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 3})
@@ -36,7 +36,7 @@
 // instance would take a late heartbeat of an ended process for one of its successor.
 func TestFencingTokenNeverFalls(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Fenced: true})
 	token := r.workerInfo().FencingToken
 	r.HandleDeregistration("i-1", 1)
@@ -45,7 +45,7 @@
 	}
 	next := report(2, 1)
 	next.Address = "127.0.0.1:2"
-	r.HandleReport(next)
+	handleReport(r, next)
 	if got := r.workerInfo().FencingToken; got < token {
 		t.Errorf("token %d of a worker at another address, %d before", got, token)
 	}
@@ -55,7 +55,7 @@
 // before it restarted, so that its reports look like those of an earlier incarnation.
 func TestWorkerWithEarlierStartTime(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(100, 9))
+	handleReport(r, report(100, 9))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 50, ClockMs: 480000})
 	requestedAt := r.reportedAt + time.Millisecond
@@ -64,7 +64,7 @@
 	case <-s.wakeCh:
 	default:
 	}
-	r.HandleReport(report(50, 1))
+	handleReport(r, report(50, 1))
 	if r.report.Incarnation != 100 {
 		t.Error("a report of an earlier incarnation is taken for news")
 	}
@@ -72,12 +72,12 @@
 		t.Error("no status request finds out whether the worker runs in that incarnation")
 	}
 	s.handleStatus(requestedAt+time.Millisecond, StatusReply{Incarnation: 50, ClockMs: 3})
-	r.HandleReport(report(50, 1))
+	handleReport(r, report(50, 1))
 	s.handleStatus(requestedAt+2*time.Millisecond, StatusReply{Incarnation: 50, ClockMs: 4})
 	if !r.machine.AcceptsRuns() {
 		t.Error("the worker accepts no runs after it has restarted")
 	}
-	r.HandleReport(report(100, 10))
+	handleReport(r, report(100, 10))
 	if !r.machine.AcceptsRuns() {
 		t.Error("a late report of the incarnation that has exited is taken for news")
 	}
@@ -87,7 +87,7 @@
 // arrives after the worker has reported another address.
 func TestStartAnsweredAfterNewAddress(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
 	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
@@ -97,7 +97,7 @@
 	r.mu.Unlock()
 	next := report(2, 1)
 	next.Address = "127.0.0.1:2"
-	r.HandleReport(next)
+	handleReport(r, next)
 	s.handleStartReply(StartRequest{Run: run}, StartReply{Result: occupancy.Accepted})
 	r.supervisor.handleStatus(clock.SinceBoot()+time.Millisecond, StatusReply{Incarnation: 2, ClockMs: 3})
 	if active := r.machine.NumActive(); active != 0 {
@@ -108,8 +108,8 @@
 // Guards against a worker that is closed by the late deregistration of its predecessor.
 func TestDeregistrationOfExitedProcess(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
-	r.HandleReport(report(2, 1))
+	handleReport(r, report(1, 1))
+	handleReport(r, report(2, 1))
 	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 2, ClockMs: 5})
 	r.HandleDeregistration("i-1", 1)
 	if !r.machine.AcceptsRuns() {
@@ -125,7 +125,7 @@
 // handled after the report of the next process, would set.
 func TestClockOfExitedProcess(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 9))
+	handleReport(r, report(1, 9))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
 	r.mu.Lock()
@@ -134,7 +134,7 @@
 	r.machine.Actions() // the test sends the start call, and it does not return
 	r.mu.Unlock()
 	requestedAt := clock.SinceBoot()
-	r.HandleReport(report(2, 1))
+	handleReport(r, report(2, 1))
 	s.handleStatus(requestedAt, StatusReply{Incarnation: 1, ClockMs: 480000})
 	if req, _ := s.nextStatusRequest(); req.LeaseEndMs != 0 {
 		t.Errorf("leases end at %d ms on a clock that began anew", req.LeaseEndMs)
@@ -162,7 +162,7 @@
 		},
 	} {
 		r := newSilentRunner(t)
-		r.HandleReport(report(1, 1))
+		handleReport(r, report(1, 1))
 		s := r.supervisor
 		if !s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000}) {
 			t.Errorf("%s: an idle worker is polled", name)
@@ -188,7 +188,7 @@
 // that no successor of the sidecar exceeds, from the late answer to a start call.
 func TestStartAnsweredByExitedProcess(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
 	req := StartRequest{FencingToken: s.fencingToken}
@@ -211,20 +211,20 @@
 		if r.supervisor != nil {
 			r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: incarnation, ClockMs: 3})
 		}
-		r.HandleReport(report(incarnation, 1))
+		handleReport(r, report(incarnation, 1))
 		r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: incarnation, ClockMs: 4})
 	}
 	run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
 	submitRun(r, run)
 	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 30, ClockMs: 5, Running: []occupancy.Progress{{Run: run}}})
 	for _, exited := range []int64{100, 50} {
-		r.HandleReport(report(exited, 9))
+		handleReport(r, report(exited, 9))
 		if r.report.Incarnation != 30 || r.machine.NumActive() != 1 {
 			t.Errorf("a late report of incarnation %d is taken for news: %d runs are active", exited, r.machine.NumActive())
 		}
 	}
 	r.supervisor.handleStatus(r.reportedAt+time.Nanosecond, StatusReply{Incarnation: 50, ClockMs: 6})
-	if r.HandleReport(report(50, 10)); r.report.Incarnation != 50 {
+	if handleReport(r, report(50, 10)); r.report.Incarnation != 50 {
 		t.Error("a report of the running incarnation is ignored")
 	}
 }
@@ -244,15 +244,15 @@
 // it restarted at another address, where no status request reaches it.
 func TestEarlierStartTimeAtNewAddress(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(100, 9))
+	handleReport(r, report(100, 9))
 	next := report(50, 1)
 	next.Address = "127.0.0.1:2"
-	if r.HandleReport(next); r.report.Incarnation != 100 {
+	if handleReport(r, next); r.report.Incarnation != 100 {
 		t.Error("a report of an earlier incarnation is taken for news while its successor may be running")
 	}
 	r.supervisor.handleStatusFailure(syscall.ECONNREFUSED, 2, 2)
 	next.Sequence++
-	if r.HandleReport(next); r.report.Incarnation != 100 {
+	if handleReport(r, next); r.report.Incarnation != 100 {
 		t.Error("refused connections are taken for the end of a process")
 	}
 	if loseWorker(r); r.report.Incarnation != 50 {
@@ -262,14 +262,14 @@
 	if !r.machine.AcceptsRuns() {
 		t.Error("the worker accepts no runs after it has restarted at another address")
 	}
-	if r.HandleReport(report(100, 10)); r.report.Incarnation != 50 {
+	if handleReport(r, report(100, 10)); r.report.Incarnation != 50 {
 		t.Error("a late report of the incarnation that has exited is taken for news")
 	}
 	loseWorker(r)
-	r.HandleReport(report(100, 10)) // late, but nothing shows it while no worker accepts connections
+	handleReport(r, report(100, 10)) // late, but nothing shows it while no worker accepts connections
 	loseWorker(r)
 	next.Sequence++
-	if r.HandleReport(next); r.report.Incarnation != 50 {
+	if handleReport(r, next); r.report.Incarnation != 50 {
 		t.Error("a worker is not used again after a late report from another address")
 	}
 }
@@ -279,10 +279,10 @@
 func TestTokenAboveEarlierProcess(t *testing.T) {
 	now := clock.SinceBoot()
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
+	c := newTestClient(r, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := newTestClient(r, now)
 	own := r.supervisor.fencingToken
 	for _, reported := range []int64{0, own - 1, own} {
 		if err := c.handleReply(now, now, 4, &wire.RunnerHeartbeatReply{Entry: c.owner.process, FencingToken: reported}); err != nil || r.supervisor.fencingToken != own {
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -16,7 +17,14 @@
 )
 
 // silentWorker answers no call until the sidecar closes its client.
-type silentWorker struct{ closed chan struct{} }
+type silentWorker struct {
+	polled, closed chan struct{}
+	once           *sync.Once
+}
+
+func newSilentWorker(string) WorkerClient {
+	return silentWorker{make(chan struct{}), make(chan struct{}), &sync.Once{}}
+}
 
 func (w silentWorker) StartRun(context.Context, StartRequest) StartReply {
 	<-w.closed
@@ -29,25 +37,44 @@
 }
 
 func (w silentWorker) PollStatus(context.Context, StatusRequest) (StatusReply, error) {
+	w.once.Do(func() { close(w.polled) })
 	<-w.closed
 	return StatusReply{}, context.Canceled
 }
 
 func (w silentWorker) Close() { close(w.closed) }
 
+// disableTicks keeps the timer of a sidecar from changing its state beside the test.
+func disableTicks(r *Runner) {
+	r.tickTimer.Stop()
+	r.tickTimer = time.AfterFunc(time.Hour, func() {})
+}
+
+// handleReport hands a report to a sidecar whose worker is silent. It returns when the sidecar waits
+// for an answer of the worker, so that no goroutine changes its state beside the test.
+func handleReport(r *Runner, report Report) {
+	r.HandleReport(report)
+	r.mu.Lock()
+	s := r.supervisor
+	r.mu.Unlock()
+	if s != nil {
+		<-s.client.(silentWorker).polled
+	}
+}
+
 // newSilentRunner returns a sidecar whose worker answers no call, so that the test alone
 // decides what the sidecar hears.
 func newSilentRunner(t *testing.T) *Runner {
 	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second, ReportInterval: time.Minute},
-		func(string) WorkerClient { return silentWorker{make(chan struct{})} }, nil)
+		newSilentWorker, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	disableTicks(r)
 	t.Cleanup(func() {
 		r.listener.Close()
 		r.cancel()
 		r.mu.Lock()
-		r.tickTimer.Stop()
 		if r.supervisor != nil {
 			r.supervisor.close()
 		}
@@ -65,7 +92,7 @@
 // returned time, the time of its newest contact.
 func newRunnerWithDroppedOwner(t *testing.T, run work.RunID) (r *Runner, droppedAt time.Duration) {
 	r = newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	r.supervisor.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
 	entry := ident.Process{Instance: "entry", Incarnation: 1}
 	o := &owner{Owner: ownership.New(4), runner: r, process: entry, client: &entryClient{runner: r, rpcClient: rpcnet.NewClient(r.Address()), wakeCh: make(chan struct{}, 1)}}
@@ -153,7 +180,7 @@
 		},
 	} {
 		r := newSilentRunner(t)
-		r.HandleReport(report(1, 1))
+		handleReport(r, report(1, 1))
 		s := r.supervisor
 		s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
 		begin(s)
@@ -180,7 +207,7 @@
 func TestLeaseAfterIdleTime(t *testing.T) {
 	const idle, clockMs = time.Minute, 1000
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: clockMs})
 	r.mu.Lock()
@@ -205,7 +232,7 @@
 // unanswered the stops of a run whose caller has left, and its leases are extended for other runs.
 func TestLeasesOfAbandonedRun(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 5})
 	abandoned, other := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}, work.RunID{Task: work.TaskID{Job: "b"}, Attempt: 1}
@@ -242,7 +269,7 @@
 func TestLeaseOnAnotherClock(t *testing.T) {
 	for _, listed := range []bool{false, true} {
 		r := newSilentRunner(t)
-		r.HandleReport(report(1, 1))
+		handleReport(r, report(1, 1))
 		s := r.supervisor
 		s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
 		run := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
--- a/internal/runner/refused_test.go
+++ b/internal/runner/refused_test.go
@@ -11,7 +11,7 @@
 // refused connections of a process that runs on, its end did not raise the fencing token.
 func TestEarlierCallsFencedAfterRefusals(t *testing.T) {
 	r := newSilentRunner(t)
-	r.HandleReport(report(1, 1))
+	handleReport(r, report(1, 1))
 	s := r.supervisor
 	s.handleStatus(clock.SinceBoot(), StatusReply{Incarnation: 1, ClockMs: 480000})
 	s.handleStatusFailure(syscall.ECONNREFUSED, 2, 2)
--- a/internal/runner/reply_test.go
+++ b/internal/runner/reply_test.go
@@ -18,10 +18,12 @@
 func checkHeartbeatReply(tb testing.TB, r *Runner, reply wire.RunnerHeartbeatReply) {
 	now := clock.SinceBoot()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	clear(r.owners)
 	clear(r.entries)
+	r.mu.Unlock()
 	c := newTestClient(r, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	c.address = "127.0.0.1:1"
 	r.entries[c.address] = c
 	owner := c.owner
