Sidecars tell at once that their worker has room again

Entry instances refused jobs for want of room while workers had some: an entry instance that has no runs at a worker hears of it once a second, and it sends none there while the last summary tells of a full worker or a queue.

A sidecar now sends a heartbeat at least 100 ms after the last one when the newest summary for that entry instance told of a full worker or of queued runs, and a quarter of the capacity is free without a queue. Cost: at most 10 heartbeats a second for each attached entry instance while a worker changes between full and free, none otherwise; 24 bytes for each owner.

TestHeartbeatAfterOverload fails without the new case of dueAt.

--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -88,6 +88,8 @@
 		return max(c.retryAt, c.lastSentAt+heartbeatInterval)
 	case c.owner == nil || !c.owner.Live():
 		return c.lastSentAt + heartbeatInterval
+	case c.hasNews():
+		return max(now, c.lastSentAt+newsInterval)
 	case c.owner.busy():
 		return max(c.owner.LastContact(), c.lastSentAt) + heartbeatInterval
 	}
--- /dev/null
+++ b/internal/runner/news_test.go
@@ -0,0 +1,37 @@
+package runner
+
+import (
+	"testing"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// TestHeartbeatAfterOverload guards against an entry instance that refuses jobs for up to a second
+// after an overload, because it has no runs at the worker and so hears late that there is room again.
+func TestHeartbeatAfterOverload(t *testing.T) {
+	now := clock.SinceBoot()
+	r := newTestRunner(t, now)
+	c := newTestClient(r, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	other := work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	r.machine.Submit(now, c.owner.process, []wire.RunRequest{{Run: other, Need: work.Resources{MilliCPU: 1000}, MaxWaitMs: 1000}})
+	r.machine.Actions()
+	r.load(now, c.owner)
+	c.lastSentAt = now
+	if due := c.dueAt(now) - now; due < heartbeatInterval {
+		t.Fatalf("a heartbeat is due after %v while the worker is full", due)
+	}
+	r.machine.StartAnswered(now, other, occupancy.Rejected, "test")
+	r.machine.Actions()
+	if due := c.dueAt(now) - now; due != newsInterval {
+		t.Errorf("a heartbeat is due after %v, want %v", due, newsInterval)
+	}
+	r.load(now, c.owner)
+	if due := c.dueAt(now) - now; due < heartbeatInterval {
+		t.Errorf("a heartbeat is due after %v although the entry instance has been told", due)
+	}
+}
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ownership"
 	"github.com/cardamomturn/cardamomturn/internal/event"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -25,6 +26,8 @@
 	// ackedEnds is the number of ends that the owner has acknowledged in the session.
 	ackedEnds uint64
 	sending   bool // sendEnds is running
+	// told is the room in the newest load summary for the owner.
+	told occupancy.Room
 }
 
 // busy reports whether the owner has runs here, or ends that it has not acknowledged; mu
@@ -106,6 +109,7 @@
 	if o != nil {
 		load.AppliedSequence = o.AppliedSequence()
 		load.AcceptsRuns = load.AcceptsRuns && !o.client.unwanted
+		o.told = occupancy.RoomIn(&load)
 	}
 	return load
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -237,6 +237,7 @@
 		}
 	}
 	r.scheduleTick(now, next)
+	r.announceRoom(now)
 	if acceptsRuns := r.machine.AcceptsRuns(); acceptsRuns != r.acceptsRuns {
 		r.acceptsRuns = acceptsRuns
 		event.LogRateLimited(event.WorkerAvailabilityChanged, "open", acceptsRuns, "worker", r.report.ID, "closing", r.draining, "draining", r.report.Draining)
