placement: an entry instance that has just started holds jobs until it knows its workers

A job without an admissible plan is now held, the most urgent first, while further workers become known: for at most 2 s after the start, until no worker has been added for 120 ms, and no longer than the job can still end within its objective. Then it is refused as before, as not run. At most 500 jobs are held, and 8 plans in a row without success end a pass, so a small machine is not busy with planning.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -96,7 +96,7 @@
 	}
 	b := &Broker{
 		cfg: cfg, config: config, metrics: registry, rpcServer: rpcnet.NewServer(),
-		machine:     placement.New(placement.Config{Zone: cfg.Zone}, rand.New(rand.NewSource(cfg.Seed))),
+		machine:     placement.New(placement.Config{Zone: cfg.Zone, WorkersSettle: placement.DefaultWorkersSettle}, rand.New(rand.NewSource(cfg.Seed))),
 		answerChans: map[string]chan work.Answer{}, sidecars: map[ident.Process]*sidecarClient{}, peers: map[string]*peer{},
 		announce: make(chan struct{}, 1),
 	}
--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -57,6 +57,7 @@
 // all jobs before a message can make them run again, and stops using all workers: what
 // this process reads from them may be older than the pause.
 func (m *Machine) checkContacts(now time.Duration) {
+	m.startup.begin(now)
 	paused := m.lastCall > 0 && now-m.lastCall > m.cfg.HeartbeatTimeout
 	m.lastCall = now
 	if now < m.nextContactCheck && !paused {
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -71,6 +71,7 @@
 	mayHaveRun bool
 	answered   bool
 	waiting    bool // whether the job is in Machine.waiting
+	held       bool // whether the job waits for its first plan (see Machine.hold)
 	// retryAt is the earliest time at which waiting tasks are placed again.
 	retryAt     time.Duration
 	submittedAt time.Duration
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -41,6 +41,9 @@
 	// last run for it, by which the worker has ended all runs of this entry instance,
 	// even if its sidecar has failed, because their leases have expired.
 	DefaultLeaseTimeout = 2 * time.Second
+	// DefaultWorkersSettle is longer than the time between the first heartbeats of sidecars that
+	// have started together.
+	DefaultWorkersSettle = 120 * time.Millisecond
 	// DefaultMaxCrashes is the number of workers that may crash under a task before its job
 	// fails. After two, it ends as unfinished if no other job was at work both times.
 	DefaultMaxCrashes = 3
@@ -56,6 +59,10 @@
 	// have ended. IsolationTimeout is the time without a message from any sidecar after which all
 	// jobs are abandoned.
 	HeartbeatTimeout, IdleTimeout, LeaseTimeout, IsolationTimeout time.Duration
+	// WorkersSettle is the time without a further worker after which an entry instance that has
+	// just started knows all workers; DefaultWorkersSettle suits. Until then, a job for which there
+	// is no room is held as long as it can still end within its objective. Zero holds no job.
+	WorkersSettle time.Duration
 	// MaxCrashes is the number of workers that may crash under a task before its job fails,
 	// also if other jobs may have caused the crashes.
 	MaxCrashes int
@@ -137,6 +144,7 @@
 	// lastCall is the time of the last call of checkContacts, and nextContactCheck that
 	// of the next check of the times without a message.
 	lastCall, nextContactCheck time.Duration
+	startup                    startup
 	// lastMessage is the time of the last message from any sidecar, zero before the first.
 	lastMessage time.Duration
 	// delayedUntil is the time until which requests may arrive that were held back while this
@@ -162,7 +170,7 @@
 	if cfg.MaxCrashes == 0 {
 		cfg.MaxCrashes = DefaultMaxCrashes
 	}
-	return &Machine{cfg: cfg, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	return &Machine{cfg: cfg, startup: startup{settle: cfg.WorkersSettle}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
 }
 
 // pool holds the workers of one service.
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -46,6 +46,8 @@
 		case j.answered:
 		case now < j.retryAt:
 			m.addWaiting(j)
+		case j.held:
+			m.retryHeld(now, j)
 		case j.notRun():
 			m.replan(now, j)
 		default:
--- /dev/null
+++ b/internal/decision/placement/startup.go
@@ -0,0 +1,121 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+const (
+	// maxStartup is the time after the start of the process in which workers may still become
+	// known, for the first time or after a loss of power of all machines.
+	maxStartup = 2 * time.Second
+	// heldRetryInterval is the time between two plans of a held job.
+	heldRetryInterval = 20 * time.Millisecond
+	// maxHeldJobs bounds the held jobs, and maxFailedPlans the plans in a row that are not
+	// admissible before the other held jobs wait for the next interval: the first ones are the
+	// most urgent.
+	maxHeldJobs    = 500
+	maxFailedPlans = 8
+)
+
+// startup knows whether an entry instance has just started, so that more workers become known at
+// any moment. A job that is refused meanwhile for want of room would often find some a moment later.
+type startup struct {
+	began, running bool
+	beganAt        time.Duration
+	// workerAddedAt is the time at which a worker has accepted runs for the first time.
+	workerAddedAt time.Duration
+	// settle is the time without a further worker after which those known count as all. Zero
+	// means that no job is held.
+	settle      time.Duration
+	held        int // number of held jobs
+	failedPlans int // since failedSince
+	failedSince time.Duration
+}
+
+// begin notes the first call of the machine.
+func (s *startup) begin(now time.Duration) {
+	if !s.began {
+		s.began, s.running, s.beganAt = true, s.settle > 0, now
+	}
+}
+
+func (s *startup) workerAdded(now time.Duration) { s.workerAddedAt = now }
+
+// incomplete reports whether further workers may become known at any moment.
+func (s *startup) incomplete(now time.Duration) bool {
+	if s.running && (now-s.beganAt > maxStartup || s.workerAddedAt > 0 && now-s.workerAddedAt > s.settle) {
+		s.running = false
+	}
+	return s.running
+}
+
+// hold admits a job that has no admissible plan, if further workers may become known before it is
+// too late to end within its objective. It reports whether it has.
+func (m *Machine) hold(now time.Duration, j *job) bool {
+	if m.startup.held >= maxHeldJobs || !m.mayHold(now, j) {
+		return false
+	}
+	m.jobs[j.spec.ID] = j
+	m.unanswered.Add(j)
+	j.held = true
+	m.startup.held++
+	j.retryAt = now + heldRetryInterval
+	m.addWaiting(j)
+	// The most urgent jobs get the first workers.
+	slices.SortStableFunc(m.waiting, func(a, b *job) int { return a.spec.Rank - b.spec.Rank })
+	return true
+}
+
+// mayHold reports whether a job may wait for its first plan.
+func (m *Machine) mayHold(now time.Duration, j *job) bool {
+	return m.startup.incomplete(now) && now+heldRetryInterval < j.latestStart(0)
+}
+
+// retryHeld plans a held job. Without an admissible plan it is held on, or refused if no further
+// worker is expected in time.
+func (m *Machine) retryHeld(now time.Duration, j *job) {
+	if !m.mayHold(now, j) {
+		m.release(j)
+		if p := m.pools[j.spec.Service]; p == nil || !p.hasUsableWorker() {
+			m.answer(now, j, refuseWithoutWorker())
+			return
+		}
+		m.replan(now, j)
+		return
+	}
+	if m.startup.skipPlan(now) {
+		m.addWaiting(j)
+		return
+	}
+	if p := m.planTasks(now, j, j.ready()); p.admissible {
+		m.release(j)
+		m.startup.failedPlans = 0
+		m.executePlan(now, j, p)
+		return
+	}
+	m.startup.failedPlans++
+	j.retryAt = now + heldRetryInterval
+	m.addWaiting(j)
+}
+
+// skipPlan reports whether so many plans have failed just now that others would, too.
+func (s *startup) skipPlan(now time.Duration) bool {
+	if now-s.failedSince >= heldRetryInterval {
+		s.failedSince, s.failedPlans = now, 0
+	}
+	return s.failedPlans >= maxFailedPlans
+}
+
+// release ends the hold of a job.
+func (m *Machine) release(j *job) {
+	if j.held {
+		j.held = false
+		m.startup.held--
+	}
+}
+
+// refuseWithoutWorker is the answer to a job for whose service there is no worker.
+func refuseWithoutWorker() work.Answer { return refusal(work.ReasonNoWorker, noWorkerRetryAfter) }
--- a/internal/decision/placement/submit.go
+++ b/internal/decision/placement/submit.go
@@ -60,13 +60,19 @@
 	}
 	p := m.pools[spec.Service]
 	if p == nil || !p.hasUsableWorker() {
-		return refusal(work.ReasonNoWorker, noWorkerRetryAfter), false
+		if m.hold(now, j) {
+			return work.Answer{}, true
+		}
+		return refuseWithoutWorker(), false
 	}
 	if !p.canFit(spec) {
 		return refusal(work.ReasonNeverFits, 0), false
 	}
 	plan := m.planTasks(now, j, j.ready())
 	if !plan.admissible {
+		if m.hold(now, j) {
+			return work.Answer{}, true
+		}
 		return refusal(work.ReasonOverload, m.retryAfter(plan.maxWait)), false
 	}
 	m.jobs[spec.ID] = j
@@ -129,6 +135,7 @@
 		return
 	}
 	j.answered = true
+	m.release(j)
 	m.unanswered.Remove(j)
 	for _, t := range j.tasksWithRun() {
 		m.stopRun(t)
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -108,6 +108,7 @@
 	m.stopAbandonedRuns(w)
 	if load.AcceptsRuns && !w.acceptedRuns {
 		w.acceptedRuns = true
+		m.startup.workerAdded(now)
 		m.endPredecessors(now, w)
 	}
 	m.settleSilentWorkers(now, info)
