Decisions for the evacuation of an availability zone

Cause: operators need to ask that the workers of a zone get nothing more until they take the request back (docs/design/evacuation.md).

Change: package evacuation holds the state (revision and zones), compares revisions, says whether a worker of a zone may get work, and limits the capacity of a worker in eight steps of half a second after the request is taken back. Placement takes workers of such zones for unusable: first starts, retries, later steps, waiting tasks and the count of usable workers ask the same function, which has moved to a file of its own. Occupancy returns queued and new runs with the reason "the zone is evacuated" and lets active ones go on. The ramp limits what starts and what the load summary calls free, so that all entry instances see the same; its withheld part counts as remaining work, so that their estimates of the wait hold. A worker without active runs may start any single run, so that a large one is not returned during the ramp.

Cost: per worker one byte at each entry instance and 16 bytes at its sidecar; per start one comparison; a change of the state costs an entry instance one pass over its workers.

--- a/internal/decision/occupancy/load.go
+++ b/internal/decision/occupancy/load.go
@@ -179,9 +179,10 @@
 // Load returns the load summary for an entry instance.
 func (m *Machine) Load(now time.Duration) wire.Load {
 	m.load.version++
+	limit := m.ramp.Limit(now, m.worker.Capacity)
 	l := wire.Load{
 		Version: m.load.version, Description: m.description, AcceptsRuns: m.AcceptsRuns(), Capacity: m.worker.Capacity,
-		Free: m.worker.Capacity.Sub(m.used), Slowness: m.currentSlowness(now),
+		Free: limit.Sub(m.used), RemainingWork: m.withheldWork(now, limit), Slowness: m.currentSlowness(now),
 		Suspect: m.health.suspect(now), Probe: m.health.probe(now),
 	}
 	l.Free = work.Resources{MilliCPU: max(l.Free.MilliCPU, 0), MemoryMB: max(l.Free.MemoryMB, 0), Accelerators: max(l.Free.Accelerators, 0)}
--- a/internal/decision/occupancy/occupancy.go
+++ b/internal/decision/occupancy/occupancy.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
@@ -149,6 +150,9 @@
 	workerAvailable bool
 	// draining is true once the sidecar accepts no new runs any more.
 	draining bool
+	// evacuated is true while the worker's zone is evacuated; ramp limits the capacity after that.
+	evacuated bool
+	ramp      evacuation.Ramp
 	// unknownRuns holds the runs that the worker lists although this process has
 	// not started them.
 	unknownRuns map[work.RunID]unknownRun
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -58,7 +58,7 @@
 			m.endRun(now, r, work.NotRun, "no room in time")
 			continue
 		}
-		if !m.used.Add(r.Need).FitsIn(m.worker.Capacity) {
+		if !m.fits(now, r.Need) {
 			if !r.NoWait {
 				return
 			}
--- a/internal/decision/occupancy/stop.go
+++ b/internal/decision/occupancy/stop.go
@@ -215,6 +215,9 @@
 		wakeAt(u.nextStop)
 	}
 	m.startOrReturnQueued(now)
+	if at := m.ramp.NextStep(now); at > 0 && m.queue.Len() > 0 {
+		wakeAt(at)
+	}
 	return next
 }
 
--- a/internal/decision/occupancy/worker.go
+++ b/internal/decision/occupancy/worker.go
@@ -145,7 +145,7 @@
 
 // AcceptsRuns reports whether new runs may start on the worker.
 func (m *Machine) AcceptsRuns() bool {
-	return m.workerAvailable && !m.draining && m.statusKnown && len(m.unknownRuns) == 0 && m.worker.ID != ""
+	return m.workerAvailable && !m.draining && !m.evacuated && m.statusKnown && len(m.unknownRuns) == 0 && m.worker.ID != ""
 }
 
 // startOrReturnQueued starts queued runs. If no runs are accepted, it returns all
@@ -155,5 +155,9 @@
 		m.startQueued(now)
 		return
 	}
-	m.returnQueued(now, "the worker accepts no new runs")
+	reason := "the worker accepts no new runs"
+	if m.evacuated {
+		reason = ReasonEvacuated
+	}
+	m.returnQueued(now, reason)
 }
--- a/internal/decision/placement/harness_test.go
+++ b/internal/decision/placement/harness_test.go
@@ -34,9 +34,9 @@
 	return ident.Process{Instance: fmt.Sprint("side-", i), Incarnation: 1}
 }
 
-// info returns the description of worker i.
+// info returns the description of worker i, which has a zone of its own.
 func info(i int) wire.WorkerInfo {
-	return wire.WorkerInfo{Sidecar: wire.Peer{Process: process(i)}, Worker: fmt.Sprint("w", i), Service: "svc"}
+	return wire.WorkerInfo{Sidecar: wire.Peer{Process: process(i), Zone: fmt.Sprint("zone-", i)}, Worker: fmt.Sprint("w", i), Service: "svc"}
 }
 
 // heartbeat delivers a heartbeat of worker i with a free processor capacity in
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -17,6 +17,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/crashes"
 	"github.com/cardamomturn/cardamomturn/internal/decision/estimate"
+	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/indexedheap"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -141,6 +142,7 @@
 	sequence   uint64    // sequence number of the newest batch to any sidecar
 	actions    []Action
 	draining   bool
+	evacuation evacuation.State
 	// lastCall is the time of the last call of checkContacts, and nextContactCheck that
 	// of the next check of the times without a message.
 	lastCall, nextContactCheck time.Duration
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -28,6 +28,8 @@
 	// after the last message, until the next heartbeat. unresponsive is true while the
 	// sidecar does not answer a batch.
 	unreachable, unresponsive bool
+	// evacuated is true while the sidecar's zone is evacuated.
+	evacuated bool
 
 	load wire.Load
 	// loadReceived is the time at which load was received.
@@ -128,6 +130,7 @@
 	if !info.SameWorker(&w.info) {
 		m.actions = append(m.actions, WorkerDescribed{info})
 	}
+	w.evacuated = !m.evacuation.Allows(info.Sidecar.Zone)
 	if w.pool != nil && w.info.Service == info.Service {
 		w.info = info
 		return
@@ -218,32 +221,6 @@
 	return sum
 }
 
-// usable reports whether the worker can be given runs. It gets none while its newest load summary
-// belongs to a description that no heartbeat has brought yet.
-func (w *worker) usable() bool {
-	return w.load.AcceptsRuns && w.load.Description == w.description && !w.unreachable && !w.unresponsive && w.pool != nil
-}
-
-// hasUsableWorker reports whether any worker of the pool is usable.
-func (p *pool) hasUsableWorker() bool {
-	for _, w := range p.workers {
-		if w.usable() {
-			return true
-		}
-	}
-	return false
-}
-
-// canFit reports whether each task of a job is within maxCapacity.
-func (p *pool) canFit(spec *work.Job) bool {
-	for _, s := range spec.Steps {
-		if !s.Need.FitsIn(p.maxCapacity) {
-			return false
-		}
-	}
-	return true
-}
-
 // BatchRejected records that a sidecar has certainly not carried out a batch, for
 // example because it is another incarnation or does not consider this entry
 // instance live.
