Entry instances and sidecars pass on the evacuation state

Cause: the decisions on evacuations need the state in each process, also in those that the store turns away, and a late or older message must not undo a newer one.

Change: package zones holds the state of a process, takes over only a higher revision, logs E3011 and E3012 and sets the gauge zones_evacuated. Exchanges between entry instances name the revision, and replies carry the state if it is newer; an instance that hears of a higher revision reads it from the sender, and other zones start a round of exchanges at once. Replies to heartbeats carry the state unless the heartbeat names it or a later one. An entry instance with evacuations is not ready and refuses jobs as not run until it has a state. A sidecar in an evacuated zone returns its queued and new runs (counter runs_returned_evacuation). Reports and batches put off the heartbeats of a busy sidecar and don't carry the state, so heartbeats follow one another within a third of the bound, and at least every second, there.

Cost, where evacuations are on: 11 bytes per heartbeat and exchange request, the state in a reply only after a change, and for a busy sidecar at most one more heartbeat a second to each entry instance, as when it is idle. No store call per sidecar or request. Where they are off, no message has a new field.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -29,6 +29,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
+	"github.com/cardamomturn/cardamomturn/internal/zones"
 )
 
 // Config holds the settings of an entry instance.
@@ -43,6 +44,9 @@
 	PeerAddresses []string
 	// Seed is the seed of the random choices; zero selects a random seed.
 	Seed int64
+	// EvacuateWithin is the time in which an evacuation has to be in force; zero means that there
+	// are no evacuations.
+	EvacuateWithin time.Duration
 }
 
 // Broker is an entry instance for tasks that run under leases.
@@ -72,6 +76,7 @@
 	// compareUntil is the time until which exchanges compare what the peers remember.
 	compareUntil time.Duration
 	pulling      bool // a configuration is read from a peer, or will be soon
+	evacuation   *zones.Holder
 	nextTick     time.Duration
 	loggedReady  bool // the readiness in the last log entry about it
 	tickTimer    *time.Timer
@@ -98,7 +103,7 @@
 		cfg: cfg, config: config, metrics: registry, rpcServer: rpcnet.NewServer(),
 		machine:     placement.New(placement.Config{Zone: cfg.Zone, WorkersSettle: placement.DefaultWorkersSettle}, rand.New(rand.NewSource(cfg.Seed))),
 		answerChans: map[string]chan work.Answer{}, sidecars: map[ident.Process]*sidecarClient{}, peers: map[string]*peer{},
-		announce: make(chan struct{}, 1),
+		announce: make(chan struct{}, 1), evacuation: zones.NewHolder(cfg.EvacuateWithin > 0, registry),
 	}
 	if err := listen.Open(listen.Port{Name: "internal", Address: cfg.InternalAddress, Listener: &b.listener}); err != nil {
 		return nil, err
@@ -130,10 +135,10 @@
 // Address returns the address at which other processes reach the internal port.
 func (b *Broker) Address() string { return b.self.Address }
 
-// Ready reports whether the instance accepts requests: it has a configuration
-// and a usable worker and is not draining.
+// Ready reports whether the instance accepts requests: it has a configuration, an evacuation
+// state unless evacuations are off, and a usable worker, and is not draining.
 func (b *Broker) Ready() bool {
-	return !b.draining.Load() && b.config.Table() != nil && b.usableWorkers.Load() > 0
+	return !b.draining.Load() && b.config.Table() != nil && b.evacuation.Ready() && b.usableWorkers.Load() > 0
 }
 
 // Draining reports whether StartDraining has been called.
--- a/internal/broker/peer.go
+++ b/internal/broker/peer.go
@@ -157,32 +157,32 @@
 	b.wg.Go(func() { b.exchange(p) })
 }
 
-// pullFrom reads the configuration of a peer that has announced a newer one, unless the
-// store delivers that first or another read is under way; mu is held.
-func (b *Broker) pullFrom(address string) {
+// pullFrom reads the configuration and evacuation state of a peer that has announced a newer version
+// or revision, unless the store delivers that first or another read is under way; mu is held.
+func (b *Broker) pullFrom(address string, version, revision uint64) {
 	p := b.peers[address]
 	if p == nil || b.pulling || b.ctx.Err() != nil {
 		return
 	}
 	b.pulling = true
-	version := b.config.Version()
 	b.wg.Go(func() {
 		clock.Sleep(b.ctx, rand.N(maxPullDelay))
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.pulling = false
-		if b.config.Version() == version {
+		if b.config.Version() < version || b.evacuation.Lacks(revision) {
 			b.startExchange(p)
 		}
 	})
 }
 
-// exchange sends the version in force to a peer, and applies the peer's configuration
-// if that is newer.
+// exchange sends the version in force to a peer, and applies the peer's configuration and
+// evacuation state if these are newer.
 func (b *Broker) exchange(p *peer) {
 	b.mu.Lock()
 	req := wire.ConfigExchangeRequest{From: b.self, Version: b.config.Version(), MembersHash: p.membersHash,
-		Crashes: wire.NewCrashRecords(clock.SinceBoot(), crashes.Newest(p.untold)), CrashesHash: b.machine.CrashesHash(), CompareCrashes: clock.SinceBoot() < b.compareUntil}
+		Crashes: wire.NewCrashRecords(clock.SinceBoot(), crashes.Newest(p.untold)), CrashesHash: b.machine.CrashesHash(), CompareCrashes: clock.SinceBoot() < b.compareUntil,
+		EvacuationRevision: b.evacuation.State().Revision}
 	p.untold = nil
 	b.mu.Unlock()
 	var reply wire.ConfigExchangeReply
@@ -190,6 +190,9 @@
 	if err == nil {
 		err = reply.ValidateCrashes()
 	}
+	if err == nil {
+		b.ApplyEvacuation(reply.Evacuation, p.member.Address)
+	}
 	if err == nil && len(reply.Config) > 0 {
 		b.config.ApplyEncoded(reply.Config, p.member.Address)
 	}
--- a/internal/broker/peer_test.go
+++ b/internal/broker/peer_test.go
@@ -31,12 +31,15 @@
 
 // startPeers starts n entry instances without a store. Each knows the address of the
 // one before it.
-func startPeers(t *testing.T, n int) []*Broker {
+func startPeers(t *testing.T, n int) []*Broker { return startPeersWith(t, n, Config{}) }
+
+// startPeersWith is startPeers with the settings of cfg that do not differ between the instances.
+func startPeersWith(t *testing.T, n int, cfg Config) []*Broker {
 	t.Helper()
 	var all []*Broker
 	for i := range n {
 		config := queues.NewController(noStore{})
-		cfg := Config{Instance: fmt.Sprint("entry-", i), Zone: "z", InternalAddress: "127.0.0.1:0", Seed: 1}
+		cfg.Instance, cfg.Zone, cfg.InternalAddress, cfg.Seed = fmt.Sprint("entry-", i), "z", "127.0.0.1:0", 1
 		if i > 0 {
 			cfg.PeerAddresses = []string{all[i-1].Address()}
 		}
--- a/internal/broker/submit.go
+++ b/internal/broker/submit.go
@@ -48,7 +48,11 @@
 	left := caller.HasLeft()
 	now := clock.SinceBoot()
 	refused, ok := work.Answer{State: work.Unfinished, Reason: work.ReasonCallerLeft}, false
-	if !left {
+	switch {
+	case left:
+	case !b.evacuation.Ready():
+		refused = work.Answer{State: work.Refused, Reason: work.ReasonNoConfig, RetryAfter: noEvacuationRetryAfter}
+	default:
 		refused, ok = b.machine.Submit(now, job)
 	}
 	if !ok {
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -42,6 +42,21 @@
 		Meaning: "A queue of a configuration is unreadable or lacks what is needed to serve it; it is left out, and the other queues of the configuration come into force.",
 		Action:  "Correct the queue that `err` names.",
 	}
+	EvacuationInForce = &Event{
+		Number: 3011, Severity: Info, Name: "evacuation in force",
+		Meaning: "This process knows which availability zones are under evacuation (`zones`, none at the first time without a request), as of a revision of the store. An entry instance chooses no workers there; a sidecar there returns its queued runs and accepts none (E8007).",
+		Action:  "None; a process without this line for a request's revision has not heard of it.",
+	}
+	EvacuationEnded = &Event{
+		Number: 3012, Severity: Info, Name: "evacuation taken back",
+		Meaning: "The named availability zones are no longer under evacuation for this process. Each of their sidecars that has carried out the evacuation uses a growing part of its worker's capacity for a few seconds.",
+		Action:  "None.",
+	}
+	EvacuationIncomplete = &Event{
+		Number: 3013, Severity: Error, Name: "evacuation request ignored",
+		Meaning: "The store holds requests to evacuate more availability zones than are supported, or one whose name is empty or too long; those beyond the bounds have no effect.",
+		Action:  "Correct the keys of the requests.",
+	}
 )
 
-var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigAccepted, ConfigConflict, ConfigOutcomeUnknown, ConfigControllerFault, QueueRejected}
+var configEvents = []*Event{ConfigInForce, ConfigRejected, ConfigPulled, ConfigAccepted, ConfigConflict, ConfigOutcomeUnknown, ConfigControllerFault, QueueRejected, EvacuationInForce, EvacuationEnded, EvacuationIncomplete}
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -34,7 +34,7 @@
 	}
 	WorkerAvailabilityChanged = &Event{
 		Number: 8007, Severity: Info, Name: "worker open or closed",
-		Meaning: "The sidecar started or stopped accepting runs; the line tells whether the sidecar (`closing`) or the worker (`draining`) is draining.",
+		Meaning: "The sidecar started or stopped accepting runs; the line tells whether the sidecar (`closing`) or the worker (`draining`) is draining, and whether the zone is under evacuation (`evacuated`).",
 		Action:  "If a worker stays closed, inspect its backend server.",
 	}
 	OrderUnanswered = &Event{
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -95,10 +95,16 @@
 		return c.lastSentAt + heartbeatInterval
 	case c.hasNews():
 		return max(now, c.lastSentAt+newsInterval)
-	case c.owner.busy():
-		return max(c.owner.LastContact(), c.lastSentAt) + heartbeatInterval
 	}
-	return max(c.owner.LastContact(), c.lastSentAt) + idleHeartbeatInterval
+	interval := idleHeartbeatInterval
+	if c.owner.busy() {
+		interval = heartbeatInterval
+	}
+	due := max(c.owner.LastContact(), c.lastSentAt) + interval
+	if c.runner.cfg.EvacuateWithin > 0 {
+		due = min(due, c.lastSentAt+c.runner.heartbeatWithin())
+	}
+	return due
 }
 
 // sendHeartbeats sends heartbeats until the entry instance is removed or the sidecar
@@ -148,7 +154,8 @@
 		r.runMachineAndUnlock(sentAt)
 		return false
 	}
-	req := wire.RunnerHeartbeat{Info: r.workerInfo(), Load: r.load(sentAt, o), Session: c.firstSession, MembersHash: c.membersHash, NoReply: o == nil}
+	req := wire.RunnerHeartbeat{Info: r.workerInfo(), Load: r.load(sentAt, o), Session: c.firstSession, MembersHash: c.membersHash, NoReply: o == nil,
+		EvacuationRevision: r.evacuation.State().Revision}
 	if o != nil {
 		req.Session, req.Receiver = o.Session(), o.process
 	}
@@ -228,6 +235,7 @@
 		return err
 	}
 	r := c.runner
+	r.applyEvacuation(now, reply.Evacuation, c.address)
 	if r.supervisor != nil {
 		r.supervisor.fenceOff(now, reply.FencingToken)
 	}
--- /dev/null
+++ b/internal/runner/evacuation_test.go
@@ -0,0 +1,72 @@
+package runner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/clock"
+	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+	"github.com/cardamomturn/cardamomturn/internal/zones"
+)
+
+// newEvacuableClient returns a client whose owner is live, of a sidecar in zone a with evacuations.
+func newEvacuableClient(t *testing.T, now time.Duration) *entryClient {
+	r := newTestRunner(t, now)
+	r.cfg.Zone, r.cfg.EvacuateWithin, r.evacuation = "a", 2*time.Second, zones.NewHolder(true, nil)
+	return newTestClient(r, now)
+}
+
+// Guards against queued runs that a sidecar keeps although an entry instance has told it of an
+// evacuation, and against one that forgets it when another entry process answers, when an older
+// reply arrives late, or when an entry instance that does not know sends runs.
+func TestEvacuationInReplies(t *testing.T) {
+	now := clock.SinceBoot()
+	c := newEvacuableClient(t, now)
+	r, request := c.runner, wire.RunRequest{Need: work.Resources{MilliCPU: 1000}, MaxWaitMs: 5000}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	request.Run = work.RunID{Task: work.TaskID{Job: "running"}, Attempt: 1}
+	r.machine.Submit(now, c.owner.process, []wire.RunRequest{request})
+	r.machine.Actions() // the start call is in flight
+	request.Run.Task.Job = "queued"
+	r.machine.Submit(now, c.owner.process, []wire.RunRequest{request})
+	for i, state := range []evacuation.State{{Revision: 8, Zones: []string{"a"}}, {Revision: 7}, {Revision: 8}, {}} {
+		reply := wire.RunnerHeartbeatReply{Entry: ident.Process{Instance: "entry", Incarnation: uint64(i/2 + 1)}, Evacuation: &state}
+		err := c.handleReply(now, now, c.owner.Session(), &reply)
+		c.owner.sending = true // the ends stay pending
+		r.runMachine(now)
+		if n := r.machine.NumActive(); err != nil || n != 1 || r.load(now, nil).AcceptsRuns || i == 0 && len(c.owner.pendingEnds) != 1 {
+			t.Errorf("%v after the state %+v: %d runs active, ends %+v", err, state, n, c.owner.pendingEnds)
+		}
+		request.Run.Task.Job = fmt.Sprint("late", i)
+		r.machine.Submit(now, c.owner.process, []wire.RunRequest{request})
+	}
+	for _, a := range r.machine.Actions() {
+		if end, ok := a.(occupancy.ReportEnd); !ok || end.End.Outcome != work.NotRun || end.End.Reason != occupancy.ReasonEvacuated {
+			t.Errorf("action %+v", a)
+		}
+	}
+	if r.applyEvacuation(now, &evacuation.State{Revision: 9}, "test"); !r.load(now, nil).AcceptsRuns {
+		t.Error("the sidecar accepts no runs after the request is taken back")
+	}
+}
+
+// Guards against a busy sidecar that does not hear of an evacuation, because its reports and batches
+// put off the heartbeats.
+func TestHeartbeatDespiteReports(t *testing.T) {
+	now := clock.SinceBoot()
+	c := newEvacuableClient(t, now)
+	c.owner.pendingEnds, c.lastSentAt = []wire.RunEnd{{}}, now
+	for c.dueAt(now) > now && now < c.lastSentAt+time.Minute {
+		now += heartbeatInterval / 2
+		c.owner.ReportAnswered(now, c.owner.Session())
+	}
+	if waited := now - c.lastSentAt; waited > c.runner.cfg.EvacuateWithin/2 || waited < heartbeatInterval {
+		t.Errorf("the heartbeat is due after %v", waited)
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,7 +28,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
-	"github.com/cardamomturn/cardamomturn/internal/work"
+	"github.com/cardamomturn/cardamomturn/internal/zones"
 )
 
 // Config holds the settings of a sidecar.
@@ -45,6 +45,9 @@
 	MaxLease time.Duration
 	// ReportInterval is the time between two reports of the worker.
 	ReportInterval time.Duration
+	// EvacuateWithin is the time in which an evacuation has to be in force; zero means that there
+	// are no evacuations.
+	EvacuateWithin time.Duration
 }
 
 const (
@@ -95,7 +98,8 @@
 	exitedIncarnations []int64
 	owners             map[ident.Process]*owner
 	// crashes holds the crashes of the worker, for the entry instances.
-	crashes crashes.Log
+	crashes    crashes.Log
+	evacuation *zones.Holder
 	// seeds are the addresses that AddEntry has added, and entries the clients of the
 	// entry instances to which this sidecar attaches, by address.
 	seeds       map[string]bool
@@ -111,8 +115,8 @@
 func New(cfg Config, dialWorker func(address string) WorkerClient, registry *metrics.Registry) (*Runner, error) {
 	r := &Runner{
 		cfg: cfg, dialWorker: dialWorker, metrics: registry, rpcServer: rpcnet.NewServer(),
-		machine: occupancy.New(occupancy.Config{}),
-		owners:  map[ident.Process]*owner{}, seeds: map[string]bool{}, entries: map[string]*entryClient{},
+		machine: occupancy.New(occupancy.Config{}), evacuation: zones.NewHolder(cfg.EvacuateWithin > 0, registry),
+		owners: map[ident.Process]*owner{}, seeds: map[string]bool{}, entries: map[string]*entryClient{},
 	}
 	if err := listen.Open(listen.Port{Name: "internal", Address: cfg.InternalAddress, Listener: &r.listener}); err != nil {
 		return nil, err
@@ -240,56 +244,14 @@
 	r.announceRoom(now)
 	if acceptsRuns := r.machine.AcceptsRuns(); acceptsRuns != r.acceptsRuns {
 		r.acceptsRuns = acceptsRuns
-		event.LogRateLimited(event.WorkerAvailabilityChanged, "open", acceptsRuns, "worker", r.report.ID, "closing", r.draining, "draining", r.report.Draining)
+		event.LogRateLimited(event.WorkerAvailabilityChanged, "open", acceptsRuns, "worker", r.report.ID, "closing", r.draining, "draining", r.report.Draining,
+			"evacuated", r.zoneEvacuated())
 		for _, c := range r.entries {
 			c.wake()
 		}
 	}
 }
 
-// carryOut carries out one action of the machine; mu is held.
-func (r *Runner) carryOut(now time.Duration, a occupancy.Action) {
-	switch a := a.(type) {
-	case occupancy.StartRun:
-		if r.supervisor == nil {
-			r.machine.StartAnswered(now, a.Run, occupancy.Rejected, "no worker")
-			return
-		}
-		r.supervisor.startRun(a)
-	case occupancy.StopRun:
-		if r.supervisor != nil {
-			r.supervisor.stopRun(a.Run)
-		}
-	case occupancy.ReportEnd:
-		r.reportEnd(a)
-	case occupancy.WorkerCrashed:
-		r.workerCrashed(now, a)
-	case occupancy.StopSettled:
-		event.LogRateLimited(event.RunStopped, "job", a.Run.Task.Job, "step", a.Run.Task.Step, "task", a.Run.Task.Index, "attempt", a.Run.Attempt,
-			"reason", a.Reason, "outcome", a.Outcome.String(), "ranMs", a.Ran.Milliseconds(), "settlingMs", a.Settling.Milliseconds(),
-			"confirmed", a.Confirmed, "worker", r.report.ID, "owner", a.Owner.String())
-	}
-}
-
-// reportEnd counts the end of a run and queues the report to its owner; mu is held.
-func (r *Runner) reportEnd(a occupancy.ReportEnd) {
-	a.End.Reason = a.End.Reason[:min(len(a.End.Reason), maxReasonBytes)]
-	if r.metrics != nil {
-		r.metrics.Scope().Tagged(map[string]string{"outcome": a.End.Outcome.String()}).Counter("runs_ended").Inc(1)
-	}
-	// Many runs end with NoRoom during an overload, which is no fault. They are only
-	// counted, here and per job in the log entry about its answer.
-	if a.End.Outcome != work.Done && a.End.Outcome != work.NoRoom {
-		event.LogRateLimited(event.RunEndedBadly, "job", a.End.Run.Task.Job, "task", a.End.Run.Task.Index, "attempt", a.End.Run.Attempt,
-			"outcome", a.End.Outcome.String(), "reason", a.End.Reason, "crash", a.End.Crash.String(), "runMs", a.End.RunMs, "worker", r.report.ID, "owner", a.Owner.Instance)
-	}
-	// The end of a run of an owner that is dropped in the same step is not reported.
-	if o := r.owners[a.Owner]; o != nil && o.Live() {
-		o.pendingEnds = append(o.pendingEnds, a.End)
-		o.startSending()
-	}
-}
-
 // scheduleTick sets the timer to the time next, zero if no tick is needed. An
 // earlier tick that is already scheduled stays; mu is held.
 func (r *Runner) scheduleTick(now, next time.Duration) {
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
@@ -199,6 +200,8 @@
 	NoReply  bool          `msgpack:"y,omitempty"`
 	// Crashes are the crashes of the worker that the receiver has not confirmed yet.
 	Crashes []CrashRecord `msgpack:"c,omitempty"`
+	// EvacuationRevision is the revision of the sender's evacuation state, zero if it has none.
+	EvacuationRevision uint64 `msgpack:"u,omitempty"`
 }
 
 // Confirmed reports whether the sender was alive after an earlier heartbeat of it had reached
@@ -222,6 +225,9 @@
 	// all its runs and begins another session, if the session of the heartbeat is still the present
 	// one.
 	DropRuns bool `msgpack:"d,omitempty"`
+	// Evacuation is the evacuation state of the replying entry instance if its revision is higher
+	// than that of the request.
+	Evacuation *evacuation.State `msgpack:"u,omitempty"`
 }
 
 // ConfigExchangeRequest reports an entry instance's configuration version to
@@ -239,6 +245,9 @@
 	// those of the receiver if it remembers others.
 	CrashesHash    uint64 `msgpack:"a,omitempty"`
 	CompareCrashes bool   `msgpack:"o,omitempty"`
+	// EvacuationRevision is the revision of the sender's evacuation state, zero if it has none. A
+	// receiver that has a lower one asks the sender for the state.
+	EvacuationRevision uint64 `msgpack:"u,omitempty"`
 }
 
 // ConfigExchangeReply is the reply to a ConfigExchangeRequest.
@@ -254,4 +263,6 @@
 	// Crashes are the newest crashes that the sender remembers, if the request compares them
 	// and its sender remembers others.
 	Crashes []CrashRecord `msgpack:"c,omitempty"`
+	// Evacuation is as in RunnerHeartbeatReply.
+	Evacuation *evacuation.State `msgpack:"u,omitempty"`
 }
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -55,7 +55,7 @@
 	if h.Info.Sidecar.Process.IsZero() || h.Info.Sidecar.Address == "" || len(h.Info.Labels) > maxCount {
 		return errors.NotValidf("heartbeat of %v at %q with %d labels", h.Info.Sidecar.Process, h.Info.Sidecar.Address, len(h.Info.Labels))
 	}
-	if h.Session > maxCounter || h.Info.FencingToken > int64(maxCounter) {
+	if h.Session > maxCounter || h.EvacuationRevision > maxCounter || h.Info.FencingToken > int64(maxCounter) {
 		return errors.NotValidf("heartbeat of session %d with fencing token %d", h.Session, h.Info.FencingToken)
 	}
 	if err := validateCrashes(h.Crashes); err != nil {
@@ -65,7 +65,12 @@
 }
 
 // Validate checks the values of a request. Errors satisfy errors.IsNotValid.
-func (r *ConfigExchangeRequest) Validate() error { return validateCrashes(r.Crashes) }
+func (r *ConfigExchangeRequest) Validate() error {
+	if r.EvacuationRevision > maxCounter {
+		return errors.NotValidf("evacuation at revision %d", r.EvacuationRevision)
+	}
+	return validateCrashes(r.Crashes)
+}
 
 // ValidateCrashes checks the crashes in a reply. Errors satisfy errors.IsNotValid.
 func (r *ConfigExchangeReply) ValidateCrashes() error { return validateCrashes(r.Crashes) }
