--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -40,6 +40,9 @@
 	MemoryMB int `json:"memoryMB"`
 	// Grace is the maximum duration of a graceful shutdown.
 	Grace Duration `json:"grace"`
+	// EvacuateWithin is the maximum time until the evacuation of an availability zone is in force.
+	// Zero means that there are no evacuations.
+	EvacuateWithin Duration `json:"evacuateWithin"`
 }
 
 // Broker holds the settings of an entry instance that runs tasks under leases.
@@ -149,11 +152,15 @@
 	if s.Grace <= 0 {
 		p.addProblem(section+".grace", s.Grace, "a time above zero")
 	}
+	if s.EvacuateWithin != 0 {
+		checkTime(section+".evacuateWithin", s.EvacuateWithin, minEvacuateWithin, maxPlatformTime, p)
+	}
 }
 
 // Bounds of the times in the platform's settings.
 const (
 	minApplyWithin    = 100 * time.Millisecond
+	minEvacuateWithin = 100 * time.Millisecond
 	minMaxLease       = 200 * time.Millisecond
 	minReportInterval = time.Millisecond
 	maxPlatformTime   = time.Hour
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -26,6 +26,8 @@
 		`"metricsPort":70000`:       validBroker,
 		`"memoryMB":-1`:             validBroker,
 		`"grace":"1s"`:              validBroker, // a second time
+		`"evacuateWithin":"-1s"`:    validBroker,
+		`"evacuateWithin":"1ms"`:    validRunner,
 		`"reportInterval":"0s"`:     validRunner,
 		`"reportInterval":"-1s"`:    validRunner,
 		`"maxLease":"2562047h"`:     validRunner,
