The slowness of a worker is a geometric mean

Cause: on servers with speeds 0.7, 0.7 and 1.7, of whose tasks three in a hundred take seven times as long, the simulation refuses up to 10% of the long jobs at 41% of the capacity. Each long run raises the moving average of the slowness by 0.3, and the mean over the running runs, a fifth of which are then long ones, makes fast workers seem slow.

Change: both averages are geometric, like the regression of the estimates. All runs slow at once count as before. The weight of a run stays 0.05.

What remains is due to admission: it counts the wait at the worker with the earliest expected end, also if another has free capacity.

--- a/internal/decision/occupancy/load.go
+++ b/internal/decision/occupancy/load.go
@@ -128,11 +128,13 @@
 	}
 }
 
-// addSlowness adds the slowness of one run to the moving average.
+// addSlowness adds the slowness of one run to the moving average. The average is geometric, like
+// that of the estimates, so that the few runs that take many times as long as the others do not
+// make the worker seem slow.
 func (l *loadTracker) addSlowness(now time.Duration, ratio float64) {
 	ratio = min(max(ratio, minSlowness), maxSlowness)
 	l.slowness = l.averageSlowness(now)
-	l.slowness += slownessUpdateWeight * (ratio - l.slowness)
+	l.slowness *= math.Pow(ratio/l.slowness, slownessUpdateWeight)
 	l.slownessAt = now
 }
 
@@ -147,15 +149,15 @@
 	return 1 + (l.slowness-1)*math.Exp(-float64(sinceHold)/float64(slownessDecayTime))
 }
 
-// currentSlowness returns the larger of the average slowness and half the mean
-// slowness of the running runs, so that it rises before slow runs have ended. The
+// currentSlowness returns the larger of the average slowness and half the geometric mean
+// of the slowness of the running runs, so that it rises before slow runs have ended. The
 // slowness of a run is extrapolated from its progress. A run without progress counts
 // with the ratio of its run time so far to its estimate, and only once that ratio has
 // reached the average slowness. If fewer than minRuns runs count, the result is the
 // average slowness.
 func (m *Machine) currentSlowness(now time.Duration) float64 {
 	average := m.load.averageSlowness(now)
-	sum, count := 0.0, 0
+	logs, count := 0.0, 0
 	for _, r := range m.runs {
 		if r.phase != running || r.EstimateMs <= 0 {
 			continue
@@ -166,14 +168,14 @@
 		} else if ratio < average {
 			continue
 		}
-		sum += min(max(ratio, minSlowness), maxSlowness)
+		logs += math.Log(min(max(ratio, minSlowness), maxSlowness))
 		count++
 	}
 	const minRuns = 3
 	if count < minRuns {
 		return average
 	}
-	return max(average, sum/float64(count)/2)
+	return max(average, math.Exp(logs/float64(count))/2)
 }
 
 // Load returns the load summary for an entry instance.
--- a/internal/decision/placement/simulation/workload_test.go
+++ b/internal/decision/placement/simulation/workload_test.go
@@ -50,6 +50,8 @@
 	SlowFactor float64
 	// Speeds, if any, are the speeds of the workers in turn, in place of SlowFactor.
 	Speeds []float64
+	// TailShare is the part of the tasks that take TailFactor times as long as the others.
+	TailShare, TailFactor float64
 	// Departures are the times at which one worker each stops accepting runs.
 	Departures []time.Duration
 	// MaxRunTimeFactor bounds the run time of a task as a multiple of the mean of its class,
@@ -176,6 +178,9 @@
 	longest := time.Duration(0)
 	for range tasks {
 		runTime := time.Duration(src.logNormal(meanRunTime, taskRunTimeSigma) * float64(time.Second))
+		if sim.workload.TailShare > 0 && src.random.Float64() < sim.workload.TailShare {
+			runTime = time.Duration(sim.workload.TailFactor * float64(runTime))
+		}
 		if bound := sim.workload.MaxRunTimeFactor; bound > 0 {
 			runTime = min(runTime, time.Duration(bound*float64(src.MeanRunTime)))
 		}
