--- a/internal/decision/placement/simulation/competing_test.go
+++ b/internal/decision/placement/simulation/competing_test.go
@@ -78,32 +78,32 @@
 	without, with := compare(t, func(w Workload) Workload { return w })
 	before, after := without["quick"].Late+without["small"].Late, with["quick"].Late+with["small"].Late
 	if float64(after) > maxUrgentLate*float64(before) {
-		t.Errorf("%d urgent jobs late, %d without the adaption", after, before)
+		t.Errorf("%d urgent jobs late, %d without the adaptation", after, before)
 	}
 	if with["all"].CPUSeconds < without["all"].CPUSeconds {
-		t.Errorf("%.0f CPU seconds of jobs in time, %.0f without the adaption", with["all"].CPUSeconds, without["all"].CPUSeconds)
+		t.Errorf("%.0f CPU seconds of jobs in time, %.0f without the adaptation", with["all"].CPUSeconds, without["all"].CPUSeconds)
 	}
 }
 
-// Guards against an adaption that costs jobs of any class while there is room.
-func TestAdaptionInCalm(t *testing.T) {
+// Guards against an adaptation that costs jobs of any class while there is room.
+func TestAdaptationInCalm(t *testing.T) {
 	t.Parallel()
 	// tolerance is the difference of two shares that the random choices alone can make.
 	const tolerance = 0.005
 	without, with := compare(t, calm)
 	for class, r := range with {
 		if before := without[class]; r.share(r.InTime) < before.share(before.InTime)-tolerance {
-			t.Errorf("%s: %.3f in time, %.3f without the adaption", class, r.share(r.InTime), before.share(before.InTime))
+			t.Errorf("%s: %.3f in time, %.3f without the adaptation", class, r.share(r.InTime), before.share(before.InTime))
 		}
 	}
 }
 
-// Guards against an adaption that costs work during a burst although load summaries are fresh.
-func TestAdaptionWithFreshSummaries(t *testing.T) {
+// Guards against an adaptation that costs work during a burst although load summaries are fresh.
+func TestAdaptationWithFreshSummaries(t *testing.T) {
 	t.Parallel()
 	const minWork = 0.99 // the random choices alone make the rest of the difference
 	without, with := compare(t, fastLinks)
 	if with["all"].CPUSeconds < minWork*without["all"].CPUSeconds {
-		t.Errorf("%.0f CPU seconds of jobs in time, %.0f without the adaption", with["all"].CPUSeconds, without["all"].CPUSeconds)
+		t.Errorf("%.0f CPU seconds of jobs in time, %.0f without the adaptation", with["all"].CPUSeconds, without["all"].CPUSeconds)
 	}
 }
