A new evacuation state starts no tasks after a pause of an entry instance

Cause: SetEvacuation placed waiting tasks without the check for a pause of the process that precedes all other steps. If a state was the first thing that was read after a pause, tasks could start at workers whose summaries were older than the pause, although their callers may have submitted the jobs again elsewhere.

Change: SetEvacuation checks the contacts first, as the other methods do.

Run: TestStateAfterPause failed without the change (one run sent, no answer); go test ./internal/decision/placement: passed.

--- a/internal/decision/placement/evacuation_test.go
+++ b/internal/decision/placement/evacuation_test.go
@@ -66,3 +66,22 @@
 	h.collect()
 	h.checkStarts("returned tasks", len(runs), work.Done)
 }
+
+// Guards against tasks that an entry instance starts after a pause of its process, because the first
+// thing it reads then is an evacuation state. Their callers may have submitted them elsewhere.
+func TestStateAfterPause(t *testing.T) {
+	h := newHarness(t, 2)
+	h.now += ms
+	if _, ok := h.submit(newJobSpec("a", 1, 100*ms)); !ok {
+		t.Fatal("refused")
+	}
+	for sidecar, runs := range h.takeRuns() {
+		h.endRun(sidecar, runs[0], work.NotRun) // the task waits
+	}
+	h.now += h.m.cfg.HeartbeatTimeout + settleDelay
+	h.m.SetEvacuation(h.now, evacuation.State{Revision: 1, Zones: []string{"zone-5"}})
+	h.collect()
+	if runs := h.takeRuns(); len(runs) != 0 || h.answers["a"].Reason != work.ReasonOutOfContact {
+		t.Errorf("runs %v, answer %+v", runs, h.answers["a"])
+	}
+}
--- a/internal/decision/placement/usable.go
+++ b/internal/decision/placement/usable.go
@@ -10,6 +10,7 @@
 // SetEvacuation sets the zones whose workers get no runs. The caller compares the revisions. Runs
 // that are at these workers go on; the sidecars return those that have not started.
 func (m *Machine) SetEvacuation(now time.Duration, state evacuation.State) {
+	m.checkContacts(now)
 	m.evacuation = state
 	for _, w := range m.workers {
 		w.evacuated = !state.Allows(w.info.Sidecar.Zone)
