A sidecar tells no news of room that it withholds after an evacuation

Cause: the load summary leaves out the room that is withheld while a worker is warmed, but the check for news of freed room counted it. A worker that is full within its present part told every entry instance every 100 ms that it has room, and each of these heartbeats said that it has none. This lasted while more than a quarter of the worker was withheld, for all workers of the zone at the same time, when entry instances send work there again.

Change: one function says how much capacity is free, for the load summary and for the news. Nothing changes outside of the ramp, because no room is withheld there.

Cost: up to ten heartbeats a second less from each sidecar to each entry instance it is attached to, for about 3 s after an evacuation.

Run: TestNoNewsOfWithheldRoom failed without the change (due after 100 ms); go test ./internal/runner ./internal/decision/occupancy: passed.

--- a/internal/decision/occupancy/evacuation.go
+++ b/internal/decision/occupancy/evacuation.go
@@ -35,10 +35,11 @@
 	return m.used.Add(need).FitsIn(m.ramp.Limit(now, m.worker.Capacity))
 }
 
-// withheldWork returns the capacity beyond limit that no run holds, as remaining work in thousandths
+// withheldWork returns the capacity beyond the limit that no run holds, as remaining work in thousandths
 // of a core times milliseconds. It becomes free evenly until the limit ends, so that its mean
 // remaining time is half of that. Entry instances estimate their waits by it.
-func (m *Machine) withheldWork(now time.Duration, limit work.Resources) int64 {
+func (m *Machine) withheldWork(now time.Duration) int64 {
+	limit := m.ramp.Limit(now, m.worker.Capacity)
 	withheld := max(m.worker.Capacity.MilliCPU-max(limit.MilliCPU, m.used.MilliCPU), 0)
 	return withheld * m.ramp.Remaining(now).Milliseconds() / 2
 }
--- a/internal/decision/occupancy/load.go
+++ b/internal/decision/occupancy/load.go
@@ -178,16 +178,20 @@
 	return max(average, math.Exp(logs/float64(count))/2)
 }
 
+// free returns the capacity in which further runs may start beside the active ones.
+func (m *Machine) free(now time.Duration) work.Resources {
+	f := m.ramp.Limit(now, m.worker.Capacity).Sub(m.used)
+	return work.Resources{MilliCPU: max(f.MilliCPU, 0), MemoryMB: max(f.MemoryMB, 0), Accelerators: max(f.Accelerators, 0)}
+}
+
 // Load returns the load summary for an entry instance.
 func (m *Machine) Load(now time.Duration) wire.Load {
 	m.load.version++
-	limit := m.ramp.Limit(now, m.worker.Capacity)
 	l := wire.Load{
 		Version: m.load.version, Description: m.description, AcceptsRuns: m.AcceptsRuns(), Capacity: m.worker.Capacity,
-		Free: limit.Sub(m.used), RemainingWork: m.withheldWork(now, limit), Slowness: m.currentSlowness(now),
+		Free: m.free(now), RemainingWork: m.withheldWork(now), Slowness: m.currentSlowness(now),
 		Suspect: m.health.suspect(now), Probe: m.health.probe(now),
 	}
-	l.Free = work.Resources{MilliCPU: max(l.Free.MilliCPU, 0), MemoryMB: max(l.Free.MemoryMB, 0), Accelerators: max(l.Free.Accelerators, 0)}
 	// After a shrink, the excess has to end before anything else starts, as if it were queued
 	// before all other runs.
 	l.QueuedMilliCPU[0] = max(m.used.MilliCPU-m.worker.Capacity.MilliCPU, 0)
--- a/internal/decision/occupancy/news.go
+++ b/internal/decision/occupancy/news.go
@@ -1,6 +1,10 @@
 package occupancy
 
-import "github.com/cardamomturn/cardamomturn/internal/wire"
+import (
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+)
 
 // Room is what a load summary tells of the room for further runs, in thousandths of a core.
 type Room struct{ Capacity, Free, Queued int64 }
@@ -14,9 +18,9 @@
 	return room
 }
 
-// Room returns the present room.
-func (m *Machine) Room() Room {
-	room := Room{Capacity: m.worker.Capacity.MilliCPU, Free: max(m.worker.Capacity.MilliCPU-m.used.MilliCPU, 0)}
+// Room returns the present room, as the load summary tells it.
+func (m *Machine) Room(now time.Duration) Room {
+	room := Room{Capacity: m.worker.Capacity.MilliCPU, Free: m.free(now).MilliCPU}
 	for _, r := range m.queue.runs {
 		room.Queued += r.Need.MilliCPU
 	}
--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -93,7 +93,7 @@
 		return max(c.retryAt, c.lastSentAt+min(c.retryDelay, heartbeatInterval))
 	case c.owner == nil || !c.owner.Live():
 		return c.lastSentAt + heartbeatInterval
-	case c.hasNews():
+	case c.hasNews(now):
 		return max(now, c.lastSentAt+newsInterval)
 	}
 	interval := idleHeartbeatInterval
--- a/internal/runner/news_test.go
+++ b/internal/runner/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/clock"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
@@ -35,3 +36,27 @@
 		t.Errorf("a heartbeat is due after %v although the entry instance has been told", due)
 	}
 }
+
+// TestNoNewsOfWithheldRoom guards against a heartbeat to each entry instance every 100 ms during the
+// ramp after an evacuation, because the room that is withheld counts as news although no load summary
+// tells of it.
+func TestNoNewsOfWithheldRoom(t *testing.T) {
+	now := clock.SinceBoot()
+	r := newTestRunner(t, now)
+	c := newTestClient(r, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.machine.SetEvacuated(now, true)
+	r.machine.SetEvacuated(now, false)
+	r.machine.Submit(now, c.owner.process, []wire.RunRequest{{Run: work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}, Need: work.Resources{MilliCPU: 125}, MaxWaitMs: 1000}})
+	r.machine.Actions()
+	r.load(now, c.owner)
+	c.lastSentAt = now
+	if due := c.dueAt(now) - now; due < heartbeatInterval {
+		t.Errorf("a heartbeat is due after %v, but only withheld room is left", due)
+	}
+	now += time.Minute
+	if due := c.dueAt(now); due != now {
+		t.Errorf("a heartbeat is due after %v, want at once, because the room is not withheld any more", due-now)
+	}
+}
