A sidecar that has just started waits for the evacuation state

Cause: a sidecar that restarts during an evacuation has no state. It accepted runs of the entry instance that answered first, also if that one did not know of the evacuation, or learned an older state from a peer later on.

Change: with evacuations, a sidecar accepts no runs after its start until it has a state and the first heartbeat to each attached entry instance has been answered or has failed, at most for evacuateWithin or 2 s if that is shorter. So it does not stay closed beside entry instances without a state: those of an earlier release, or with settings without evacuations. Afterwards, no entry instance that answers has a state, and those with evacuations send no runs without one. Heartbeats go out every 100 ms while no state is known, so that a sidecar that starts together with the entry instances opens soon after they have read the store.

Cost: a sidecar opens one round trip later, and up to 350 ms later if the machine of an entry instance does not answer; up to ten heartbeats a second to each attached entry instance for 2 s at most, only at the start without a state. Nothing without evacuateWithin.

Run: TestRunsAfterStateIsHeard and TestHeartbeatsWithoutState failed without the conditions (runs accepted; due after 667 ms), TestFirstHeartbeatFails without the note of the first heartbeat; go test ./internal/runner: passed; go test -race -count=3 ./platform -run 'Evacuation|Template': passed.

--- a/internal/runner/entryclient.go
+++ b/internal/runner/entryclient.go
@@ -28,6 +28,8 @@
 	// was a refused connection.
 	failingSince, retryAt, retryDelay time.Duration
 	refused                           bool
+	// tried is true once a heartbeat has been answered or has failed.
+	tried bool
 	// confirmedCrashes is the number of the newest of Runner.crashes of which owner has heard.
 	confirmedCrashes uint64
 	// unwanted is true if the sidecar detaches from the entry instance, which is then
@@ -135,6 +137,7 @@
 	if err != nil {
 		c.handleFailure(now, err)
 	}
+	c.noteTried(now)
 	if detaching && c.unwanted && (c.owner == nil || !c.owner.busy()) {
 		c.remove(now, "no longer chosen")
 		return true
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -10,6 +10,10 @@
 // Their replies name the zones under evacuation, and one may get lost.
 const heartbeatsPerEvacuation = 3
 
+// maxStateWait bounds the time for which a sidecar that has just started accepts no runs while it has
+// not heard of the evacuation state. Within it, each entry instance has answered or timed out.
+const maxStateWait = 2 * time.Second
+
 // heartbeatWithin returns the longest time between two heartbeats to an entry instance that
 // answers. Reports and batches, which put off heartbeats, don't name the zones under evacuation.
 func (r *Runner) heartbeatWithin() time.Duration {
@@ -26,3 +30,33 @@
 		r.machine.SetEvacuated(now, r.zoneEvacuated())
 	}
 }
+
+// awaitsState reports whether the sidecar has just started and has to accept no runs yet, because an
+// entry instance may know of an evacuation that others don't know; mu is held. It waits for a state and
+// the end of the first heartbeat to each entry instance. The wait is bounded: afterwards, entry
+// instances that answer have no state, and those with evacuations send no runs without one.
+func (r *Runner) awaitsState(now time.Duration) bool {
+	if r.stateWaitEnds > 0 && (now >= r.stateWaitEnds || r.evacuation.Ready() && r.allTried()) {
+		r.stateWaitEnds = 0
+	}
+	return r.stateWaitEnds > 0
+}
+
+// allTried reports whether the first heartbeat to each attached entry instance has been answered or has
+// failed; mu is held.
+func (r *Runner) allTried() bool {
+	for _, c := range r.entries {
+		if !c.tried {
+			return false
+		}
+	}
+	return true
+}
+
+// noteTried records that a heartbeat has been answered or has failed; mu is held.
+func (c *entryClient) noteTried(now time.Duration) {
+	c.tried = true
+	if c.runner.stateWaitEnds > 0 {
+		c.runner.updateAvailability(now)
+	}
+}
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
+	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 	"github.com/cardamomturn/cardamomturn/internal/zones"
@@ -70,3 +71,82 @@
 		t.Errorf("the heartbeat is due after %v", waited)
 	}
 }
+
+// Guards against a sidecar that has just started and accepts runs of an entry instance that does not
+// know of an evacuation, before one that knows has answered, and against one that stays closed because
+// no entry instance has a state or one never answers.
+func TestRunsAfterStateIsHeard(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		known, tried, later bool
+		want                bool
+	}{
+		{"no state", false, true, false, false},
+		{"a state, another entry instance has not answered", true, false, false, false},
+		{"a state, no other answer is awaited", true, true, false, true},
+		{"no state in time", false, false, true, true},
+	} {
+		r, now := newRunnerWithDroppedOwner(t, work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1})
+		r.mu.Lock()
+		r.cfg.EvacuateWithin, r.evacuation = 2*time.Second, zones.NewHolder(true, nil)
+		r.stateWaitEnds = now + 10*time.Millisecond
+		client := &entryClient{runner: r, wakeCh: make(chan struct{}, 1), tried: c.tried}
+		r.entries["first"], r.entries["second"] = &entryClient{runner: r, tried: true, wakeCh: make(chan struct{}, 1)}, client
+		if c.known {
+			r.applyEvacuation(now, &evacuation.State{Revision: 1}, "test")
+		}
+		if c.later {
+			now = r.stateWaitEnds
+		}
+		if r.updateAvailability(now); r.machine.AcceptsRuns() != c.want {
+			t.Errorf("%s: accepts runs %v, want %v", c.name, !c.want, c.want)
+		}
+		delete(r.entries, "first")
+		delete(r.entries, "second")
+		r.mu.Unlock()
+	}
+}
+
+// Guards against a sidecar that opens a second late, because the entry instance had no state yet when
+// it answered the first heartbeats.
+func TestHeartbeatsWithoutState(t *testing.T) {
+	now := clock.SinceBoot()
+	c := newEvacuableClient(t, now)
+	r := c.runner
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stateWaitEnds, c.lastSentAt = now+time.Minute, now
+	if due := c.dueAt(now) - now; due != newsInterval {
+		t.Errorf("a heartbeat is due after %v without a state, want %v", due, newsInterval)
+	}
+	if r.applyEvacuation(now, &evacuation.State{Revision: 1}, "test"); c.dueAt(now)-now < heartbeatInterval {
+		t.Errorf("a heartbeat is due after %v with a state", c.dueAt(now)-now)
+	}
+	r.evacuation = zones.NewHolder(true, nil)
+	if now = r.stateWaitEnds; c.dueAt(now)-c.lastSentAt < heartbeatInterval {
+		t.Errorf("a heartbeat is due after %v after the wait", c.dueAt(now)-c.lastSentAt)
+	}
+}
+
+// Guards against a sidecar that does not wait for the state after its start, and against one that waits
+// for an entry instance whose machine refuses connections.
+func TestFirstHeartbeatFails(t *testing.T) {
+	r, err := New(Config{Instance: "side", InternalAddress: "127.0.0.1:0", MaxLease: time.Second, EvacuateWithin: time.Second}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disableTicks(r)
+	r.listener.Close()
+	c := &entryClient{runner: r, rpcClient: rpcnet.NewClient(r.Address()), wakeCh: make(chan struct{}, 1)}
+	defer c.rpcClient.Close()
+	r.entries["a"] = c
+	if waits := r.awaitsState(clock.SinceBoot()); !waits || r.allTried() {
+		t.Errorf("waits %v, all tried %v", waits, r.allTried())
+	}
+	c.sendHeartbeat()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel(); !r.allTried() {
+		t.Error("waits for an entry instance that refuses connections")
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -126,5 +126,5 @@
 	reporting := r.report.ID != "" && r.report.Incarnation == r.statusIncarnation && now-r.reportedAt < maxMissedReports*r.cfg.ReportInterval
 	limit, limited := r.leaseLimit()
 	canLease := !limited || limit > now+minUsefulLease
-	r.machine.SetWorkerAvailable(now, reporting && canLease && r.supervisor != nil && r.supervisor.inContact && r.supervisor.clockOffsetKnown && !r.report.Draining && !r.workerLeft)
+	r.machine.SetWorkerAvailable(now, reporting && canLease && !r.awaitsState(now) && r.supervisor != nil && r.supervisor.inContact && r.supervisor.clockOffsetKnown && !r.report.Draining && !r.workerLeft)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -100,6 +100,9 @@
 	// crashes holds the crashes of the worker, for the entry instances.
 	crashes    crashes.Log
 	evacuation *zones.Holder
+	// stateWaitEnds is the time until which the sidecar accepts no runs after its start unless it has
+	// heard of the evacuation state, zero if it waits no longer.
+	stateWaitEnds time.Duration
 	// seeds are the addresses that AddEntry has added, and entries the clients of the
 	// entry instances to which this sidecar attaches, by address.
 	seeds       map[string]bool
@@ -126,6 +129,9 @@
 		Process: ident.Process{Instance: cfg.Instance, Incarnation: rand.Uint64()},
 		Address: r.listener.Addr().String(), Zone: cfg.Zone,
 	}
+	if cfg.EvacuateWithin > 0 {
+		r.stateWaitEnds = clock.SinceBoot() + min(cfg.EvacuateWithin, maxStateWait)
+	}
 	if cfg.AdvertiseAddress != "" {
 		r.self.Address = cfg.AdvertiseAddress
 	}
--- a/internal/runner/schedule.go
+++ b/internal/runner/schedule.go
@@ -32,7 +32,7 @@
 		return max(c.retryAt, c.lastSentAt+min(c.retryDelay, heartbeatInterval))
 	case c.owner == nil || !c.owner.Live():
 		return c.lastSentAt + heartbeatInterval
-	case c.hasNews(now):
+	case c.hasNews(now), now < c.runner.stateWaitEnds && !c.runner.evacuation.Ready():
 		return max(now, c.lastSentAt+newsInterval)
 	}
 	interval := idleHeartbeatInterval
