placement: a job that is too large for the first workers is held at the start

Cause: in the first moments of an entry instance, a job for which there is no room is held, because further workers may become known. One that is larger than the workers known so far was refused as one that fits no worker, which tells the caller not to submit it again.

Change: such a job is held, too, and refused with the same reason if no large enough worker has become known. Submissions and held jobs ask one function whether any known worker can take a job.

Cost: none after the start.

--- a/internal/decision/placement/harness_test.go
+++ b/internal/decision/placement/harness_test.go
@@ -42,11 +42,16 @@
 // heartbeat delivers a heartbeat of worker i with a free processor capacity in
 // thousandths of a core.
 func (h *harness) heartbeat(i int, session uint64, free int64) {
+	h.heartbeatSized(i, session, 32000, free)
+}
+
+// heartbeatSized is heartbeat for a worker of a capacity in thousandths of a core.
+func (h *harness) heartbeatSized(i int, session uint64, capacity, free int64) {
 	h.version++
 	h.m.Heartbeat(h.now, info(i), session, wire.Load{
 		Version: h.version, AppliedSequence: 1 << 30, AcceptsRuns: true, Slowness: 1,
-		Capacity: work.Resources{MilliCPU: 32000, MemoryMB: 1 << 16}, Free: work.Resources{MilliCPU: free, MemoryMB: 1 << 16},
-		RemainingWork: (32000 - free) * 400,
+		Capacity: work.Resources{MilliCPU: capacity, MemoryMB: 1 << 16}, Free: work.Resources{MilliCPU: free, MemoryMB: 1 << 16},
+		RemainingWork: (capacity - free) * 400,
 	}, true)
 	h.collect()
 }
--- a/internal/decision/placement/startup.go
+++ b/internal/decision/placement/startup.go
@@ -62,8 +62,7 @@
 	m.unanswered.Add(j)
 	j.held = true
 	m.startup.held++
-	j.retryAt = now + heldRetryInterval
-	m.addWaiting(j)
+	m.holdOn(now, j)
 	// The most urgent jobs get the first workers.
 	slices.SortStableFunc(m.waiting, func(a, b *job) int { return a.spec.Rank - b.spec.Rank })
 	return true
@@ -79,8 +78,8 @@
 func (m *Machine) retryHeld(now time.Duration, j *job) {
 	if !m.mayHold(now, j) {
 		m.release(j)
-		if p := m.pools[j.spec.Service]; p == nil || !p.hasUsableWorker() {
-			m.answer(now, j, refuseWithoutWorker())
+		if a, unplaceable := m.unplaceable(j); unplaceable {
+			m.answer(now, j, a)
 			return
 		}
 		m.replan(now, j)
@@ -97,6 +96,11 @@
 		return
 	}
 	m.startup.failedPlans++
+	m.holdOn(now, j)
+}
+
+// holdOn makes a held job wait for its next plan.
+func (m *Machine) holdOn(now time.Duration, j *job) {
 	j.retryAt = now + heldRetryInterval
 	m.addWaiting(j)
 }
@@ -117,5 +121,14 @@
 	}
 }
 
-// refuseWithoutWorker is the answer to a job for whose service there is no worker.
-func refuseWithoutWorker() work.Answer { return refusal(work.ReasonNoWorker, noWorkerRetryAfter) }
+// unplaceable reports whether no known worker can take a job whatever its load, and the refusal for it.
+func (m *Machine) unplaceable(j *job) (refused work.Answer, unplaceable bool) {
+	p := m.pools[j.spec.Service]
+	if p == nil || !p.hasUsableWorker() {
+		return refusal(work.ReasonNoWorker, noWorkerRetryAfter), true
+	}
+	if !p.canFit(j.spec) {
+		return refusal(work.ReasonNeverFits, 0), true
+	}
+	return work.Answer{}, false
+}
--- a/internal/decision/placement/startup_test.go
+++ b/internal/decision/placement/startup_test.go
@@ -97,3 +97,27 @@
 		t.Errorf("%d jobs are held after their callers have left", h.m.startup.held)
 	}
 }
+
+// TestLargeJobHeldAtStart guards against a job that is refused for good as too large for any worker,
+// because the first worker that became known is a small one.
+func TestLargeJobHeldAtStart(t *testing.T) {
+	h := newStartingHarness(t)
+	h.heartbeat(0, 0, 32000)
+	for id, milliCPU := range map[string]int64{"large": 64000, "huge": 512000} {
+		j := newJobSpec(id, 1, 200*ms)
+		j.Steps[0].Need.MilliCPU = milliCPU
+		if a, ok := h.submit(j); !ok {
+			t.Fatalf("%s is refused at once: %+v", id, a)
+		}
+	}
+	h.advance(heldRetryInterval)
+	h.heartbeatSized(1, 0, 64000, 64000)
+	h.advance(heldRetryInterval)
+	if runs := h.takeRuns()[process(1)]; len(runs) != 1 || runs[0].Run.Task.Job != "large" {
+		t.Errorf("runs %v on the large worker, want the job that was held", runs)
+	}
+	h.advance(DefaultWorkersSettle + heldRetryInterval)
+	if a := h.answers["huge"]; a.State != work.Refused || a.Reason != work.ReasonNeverFits {
+		t.Errorf("the job that fits no worker ends as %+v", a)
+	}
+}
--- a/internal/decision/placement/submit.go
+++ b/internal/decision/placement/submit.go
@@ -58,15 +58,11 @@
 	if a, ended := m.crashAnswer(j); ended {
 		return a, false
 	}
-	p := m.pools[spec.Service]
-	if p == nil || !p.hasUsableWorker() {
+	if a, unplaceable := m.unplaceable(j); unplaceable {
 		if m.hold(now, j) {
 			return work.Answer{}, true
 		}
-		return refuseWithoutWorker(), false
-	}
-	if !p.canFit(spec) {
-		return refusal(work.ReasonNeverFits, 0), false
+		return a, false
 	}
 	plan := m.planTasks(now, j, j.ready())
 	if !plan.admissible {
