placement: held jobs of one service don't keep back those of another

Cause: after eight plans that are not admissible, all other held jobs wait for the next interval, in which the same eight come first. With more urgent jobs of a service that has no worker yet, no held job of another service was planned until the start was over, although there was room for it.

Change: failed plans are counted per service, and a job that no known worker can take counts none, because it needs no plan.

Cost: at most eight failed plans per service and 20 ms in place of eight, in the first 2 s; at most 500 jobs are held.

--- a/internal/decision/placement/startup.go
+++ b/internal/decision/placement/startup.go
@@ -13,9 +13,9 @@
 	maxStartup = 2 * time.Second
 	// heldRetryInterval is the time between two plans of a held job.
 	heldRetryInterval = 20 * time.Millisecond
-	// maxHeldJobs bounds the held jobs, and maxFailedPlans the plans in a row that are not
-	// admissible before the other held jobs wait for the next interval: the first ones are the
-	// most urgent.
+	// maxHeldJobs bounds the held jobs, and maxFailedPlans the plans for a service in a row that
+	// are not admissible before its other held jobs wait for the next interval: the first ones are
+	// the most urgent.
 	maxHeldJobs    = 500
 	maxFailedPlans = 8
 )
@@ -30,8 +30,8 @@
 	// settle is the time without a further worker after which those known count as all. Zero
 	// means that no job is held.
 	settle      time.Duration
-	held        int // number of held jobs
-	failedPlans int // since failedSince
+	held        int            // number of held jobs
+	failedPlans map[string]int // by service, since failedSince
 	failedSince time.Duration
 }
 
@@ -85,17 +85,21 @@
 		m.replan(now, j)
 		return
 	}
-	if m.startup.skipPlan(now) {
+	if _, unplaceable := m.unplaceable(j); unplaceable {
+		m.holdOn(now, j)
+		return
+	}
+	if m.startup.skipPlan(now, j.spec.Service) {
 		m.addWaiting(j)
 		return
 	}
 	if p := m.planTasks(now, j, j.ready()); p.admissible {
 		m.release(j)
-		m.startup.failedPlans = 0
+		delete(m.startup.failedPlans, j.spec.Service)
 		m.executePlan(now, j, p)
 		return
 	}
-	m.startup.failedPlans++
+	m.startup.failedPlans[j.spec.Service]++
 	m.holdOn(now, j)
 }
 
@@ -105,12 +109,12 @@
 	m.addWaiting(j)
 }
 
-// skipPlan reports whether so many plans have failed just now that others would, too.
-func (s *startup) skipPlan(now time.Duration) bool {
-	if now-s.failedSince >= heldRetryInterval {
-		s.failedSince, s.failedPlans = now, 0
+// skipPlan reports whether so many plans for a service have failed just now that others would, too.
+func (s *startup) skipPlan(now time.Duration, service string) bool {
+	if s.failedPlans == nil || now-s.failedSince >= heldRetryInterval {
+		s.failedSince, s.failedPlans = now, map[string]int{}
 	}
-	return s.failedPlans >= maxFailedPlans
+	return s.failedPlans[service] >= maxFailedPlans
 }
 
 // release ends the hold of a job.
--- a/internal/decision/placement/startup_test.go
+++ b/internal/decision/placement/startup_test.go
@@ -121,3 +121,23 @@
 		t.Errorf("the job that fits no worker ends as %+v", a)
 	}
 }
+
+// TestHeldJobsOfOtherServices guards against a job that is held although there is room for it, because
+// more urgent ones of a service without workers are planned again and again before it.
+func TestHeldJobsOfOtherServices(t *testing.T) {
+	h := newStartingHarness(t)
+	for i := range maxFailedPlans + 2 {
+		j := newJobSpec(string(rune('a'+i)), 1, 200*ms)
+		j.Service = "other"
+		h.submit(j)
+	}
+	last := newJobSpec("last", 1, 200*ms)
+	last.Rank = 2
+	h.submit(last)
+	h.advance(heldRetryInterval)
+	h.heartbeat(0, 0, 32000)
+	h.advance(heldRetryInterval)
+	if runs := h.takeRuns()[process(0)]; len(runs) != 1 {
+		t.Errorf("%d runs on the worker, want that of the held job of its service", len(runs))
+	}
+}
