A sidecar in an evacuated zone makes no start calls that still wait

Cause: at most 16 start calls wait for an answer of the worker at a time, and others wait for their turn for up to 200 ms. Calls that waited when the sidecar heard of an evacuation were made afterwards, so a task could start up to 200 ms later than the time that the rest of the process keeps.

Change: the sidecar asks for the state before it makes a call. A call that is not made ends as Withdrawn: the run is returned as not run, and the worker's health does not count it.

Cost: one lock per start call with evacuateWithin, nothing without it.

--- a/internal/decision/occupancy/evacuation_test.go
+++ b/internal/decision/occupancy/evacuation_test.go
@@ -28,6 +28,22 @@
 	}
 }
 
+// Guards against a worker that counts as failing because its sidecar has withdrawn start calls.
+func TestWithdrawnStarts(t *testing.T) {
+	for result, want := range map[StartResult]bool{Rejected: true, Withdrawn: false} {
+		m := newMachine(16)
+		for i := range 16 {
+			m.lastSequence++
+			r := request(time.Duration(i).String(), 1, 0)
+			m.Submit(0, owner, []wire.RunRequest{r})
+			m.StartAnswered(0, r.Run, result, "test")
+		}
+		if l := m.Load(0); m.NumActive() != 0 || (l.Suspect || l.Probe) != want {
+			t.Errorf("result %v: %d runs active, suspect %v, probe %v", result, m.NumActive(), l.Suspect, l.Probe)
+		}
+	}
+}
+
 // Guards against a cold worker that gets all its work at once after an evacuation, against load
 // summaries that promise what does not start, and against runs that stay queued when it is warm.
 func TestRampAfterEvacuation(t *testing.T) {
--- a/internal/decision/occupancy/start.go
+++ b/internal/decision/occupancy/start.go
@@ -88,6 +88,8 @@
 	// Unanswered means that the worker did not answer and may still start the run
 	// at any time.
 	Unanswered
+	// Withdrawn means that the sidecar has not made the call, for which the worker is not to blame.
+	Withdrawn
 )
 
 // StartAnswered records the result of the start call of a StartRun action.
@@ -109,6 +111,8 @@
 	case Rejected:
 		m.health.recordEnd(now, r.Run.Task.Job, false)
 		m.endRun(now, r, work.NotRun, reason)
+	case Withdrawn:
+		m.endRun(now, r, work.NotRun, reason)
 	case Outdated:
 		m.endRun(now, r, work.Outdated, reason)
 	case Unanswered:
--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -23,6 +23,17 @@
 // zoneEvacuated reports whether the zone of this sidecar is under evacuation; mu is held.
 func (r *Runner) zoneEvacuated() bool { return !r.evacuation.State().Allows(r.cfg.Zone) }
 
+// withdrawsStarts reports whether start calls that wait for their turn are not made any more, because
+// the zone is under evacuation. A worker that does not answer would get them much later.
+func (r *Runner) withdrawsStarts() bool {
+	if r.cfg.EvacuateWithin == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.zoneEvacuated()
+}
+
 // applyEvacuation takes over the evacuation state in a reply of an entry instance, nil if there is
 // none, unless a newer one is known; mu is held.
 func (r *Runner) applyEvacuation(now time.Duration, state *evacuation.State, from string) {
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -150,3 +150,25 @@
 		t.Error("waits for an entry instance that refuses connections")
 	}
 }
+
+// Guards against a start call that waits for its turn while a zone is put under evacuation, and is
+// made afterwards.
+func TestStartCallDuringEvacuation(t *testing.T) {
+	now := clock.SinceBoot()
+	c := newEvacuableClient(t, now)
+	r, w, run := c.runner, &countingWorker{}, work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1}
+	s := newSupervisor(r, w)
+	r.mu.Lock()
+	c.owner.sending = true // the ends stay pending
+	r.machine.Submit(now, c.owner.process, []wire.RunRequest{{Run: run, Need: work.Resources{MilliCPU: 1}, MaxWaitMs: 1000}})
+	r.machine.Actions()
+	r.applyEvacuation(now, &evacuation.State{Revision: 1, Zones: []string{"a"}}, "test")
+	r.mu.Unlock()
+	req := StartRequest{Run: run}
+	s.handleStartReply(req, s.callStart(req, now))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ends := c.owner.pendingEnds; w.starts != 0 || len(ends) != 1 || ends[0].Outcome != work.NotRun || ends[0].Reason != occupancy.ReasonEvacuated || r.machine.NumActive() != 0 {
+		t.Errorf("%d start calls, ends %+v, %d runs active", w.starts, ends, r.machine.NumActive())
+	}
+}
--- a/internal/runner/supervisor.go
+++ b/internal/runner/supervisor.go
@@ -166,6 +166,9 @@
 	if clock.SinceBoot()-decidedAt > maxStartDelay {
 		return StartReply{Result: occupancy.Rejected, Reason: "the start call was delayed for too long"}
 	}
+	if s.runner.withdrawsStarts() {
+		return StartReply{Result: occupancy.Withdrawn, Reason: occupancy.ReasonEvacuated}
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, StartTimeout)
 	defer cancel()
 	return s.client.StartRun(ctx, req)
