internal/decision/ingress: what the clients of a group of ports may hold

Cause: nothing bounds the sum of what clients hold; a bound for each request alone doesn't (docs/design/client-limits.md).

Change: a state machine without I/O. Bodies take bytes of a budget in steps as they arrive; if a step does not fit, the client that holds the most is closed, of equal ones the one without progress for longest; a part of the budget is for requests of one step. Connections have bounds for all ports and for one port, and times for a header, a step of a body and an answer. Requests that are being handled are never closed. Nothing uses it yet.

--- /dev/null
+++ b/internal/decision/ingress/ingress.go
@@ -0,0 +1,242 @@
+// Package ingress decides how much the clients of a group of ports may hold: bytes of requests
+// that have not been handled yet, connections, and time. It does no I/O. A request takes bytes in
+// steps as they arrive. If a step does not fit, the client that holds the most is closed, so that
+// a crowd that came first or that sends large bodies does not shut out the others.
+//
+// The load that it answers: clients that announce or send more than they may, send slowly, or
+// open connections without end.
+package ingress
+
+import "time"
+
+// Bounds are the bounds of a group of ports.
+type Bounds struct {
+	// Bytes bounds the sum of the bytes that all clients hold. Of these, Reserve bytes are only for
+	// clients that hold at most StepBytes, so that an ordinary request has room.
+	Bytes, Reserve, StepBytes int64
+	// Connections bounds the open connections of all ports.
+	Connections int
+	// KeepServed is true if a connection that has completed a request is not closed to make room
+	// for another one.
+	KeepServed bool
+}
+
+// Times are the longest times that a client may take; zero sets no bound.
+type Times struct {
+	// Header is the time from the first byte of a request to the end of its header, Progress the
+	// time for the next step of its body, Answer the time to send the answer, and Idle the time
+	// between two requests.
+	Header, Progress, Answer, Idle time.Duration
+}
+
+// ID identifies a connection. Later connections have higher IDs.
+type ID uint64
+
+// phase is what a connection does.
+type phase int
+
+const (
+	idle phase = iota
+	header
+	body
+	// handled means that the request has been handed over. The connection is not closed.
+	handled
+	// answering means that the request was answered or refused, and the client may not have read
+	// all of the answer. The connection is not closed before answerGrace has passed.
+	answering
+)
+
+// answerGrace is the time in which a client that reads its answers has read one.
+const answerGrace = 2 * time.Second
+
+type client struct {
+	port  string
+	phase phase
+	held  int64
+	// progressAt is the time of the last progress, and deadline the time at which the connection
+	// is closed, zero for none.
+	progressAt, deadline time.Duration
+	// served is true if a request of the connection has been handled.
+	served bool
+}
+
+// Machine is the state of a group of ports. Times are monotonic.
+type Machine struct {
+	bounds  Bounds
+	times   Times
+	clients map[ID]*client
+	perPort map[string]int
+	held    int64
+	nextID  ID
+	// hurry bounds the times of a process that ends; zero means that it does not end.
+	hurry time.Duration
+}
+
+// New returns a machine without connections.
+func New(b Bounds, t Times) *Machine {
+	return &Machine{bounds: b, times: t, clients: map[ID]*client{}, perPort: map[string]int{}}
+}
+
+// SetTimes sets the times of requests that begin from now on.
+func (m *Machine) SetTimes(t Times) { m.times = t }
+
+// Held returns the sum of the bytes that all clients hold.
+func (m *Machine) Held() int64 { return m.held }
+
+// Connections returns the number of open connections.
+func (m *Machine) Connections() int { return len(m.clients) }
+
+// Open adds a connection of a port that may have portBound connections; zero sets no bound of its
+// own. The connections in closed, at most two, are to be closed and are not part of the machine
+// any more. If ok is false, there is no room and the new connection is to be closed.
+func (m *Machine) Open(port string, portBound int, now time.Duration) (id ID, closed []ID, ok bool) {
+	if portBound > 0 && m.perPort[port] >= portBound {
+		victim, found := m.leastUseful(port, now)
+		if !found {
+			return 0, nil, false
+		}
+		m.Close(victim)
+		closed = append(closed, victim)
+	}
+	if len(m.clients) >= m.bounds.Connections {
+		victim, found := m.leastUseful("", now)
+		if !found {
+			return 0, closed, false
+		}
+		m.Close(victim)
+		closed = append(closed, victim)
+	}
+	m.nextID++
+	c := &client{port: port}
+	m.clients[m.nextID] = c
+	m.perPort[port]++
+	m.enter(c, idle, now)
+	return m.nextID, closed, true
+}
+
+// Close removes a connection and gives back what it holds.
+func (m *Machine) Close(id ID) {
+	c := m.clients[id]
+	if c == nil {
+		return
+	}
+	m.held -= c.held
+	delete(m.clients, id)
+	if m.perPort[c.port]--; m.perPort[c.port] == 0 {
+		delete(m.perPort, c.port)
+	}
+}
+
+// Begin records that the first bytes of a request have arrived.
+func (m *Machine) Begin(id ID, now time.Duration) {
+	if c := m.clients[id]; c != nil && c.phase == idle {
+		m.enter(c, header, now)
+	}
+}
+
+// Progress records that another step of a body has arrived.
+func (m *Machine) Progress(id ID, now time.Duration) {
+	if c := m.clients[id]; c != nil && c.phase == body {
+		m.enter(c, body, now)
+	}
+}
+
+// Take raises what the body of a request holds to total bytes. The connections in closed are to be
+// closed and are not part of the machine any more. If ok is false, there is no room and the
+// request is to be refused; it holds nothing any more.
+func (m *Machine) Take(id ID, total int64, now time.Duration) (closed []ID, ok bool) {
+	c := m.clients[id]
+	if c == nil {
+		return nil, false
+	}
+	if c.phase != body {
+		m.enter(c, body, now)
+	}
+	if total <= c.held {
+		return nil, true
+	}
+	limit := m.bounds.Bytes
+	if total > m.bounds.StepBytes {
+		limit -= m.bounds.Reserve
+	}
+	for m.held-c.held+total > limit {
+		victim, found := m.largest(id, total)
+		if !found || victim == id {
+			m.release(c)
+			return closed, false
+		}
+		m.Close(victim)
+		closed = append(closed, victim)
+	}
+	m.held += total - c.held
+	c.held = total
+	return closed, true
+}
+
+// Start records that a request is complete and is handed over.
+func (m *Machine) Start(id ID, now time.Duration) {
+	if c := m.clients[id]; c != nil {
+		m.enter(c, handled, now)
+	}
+}
+
+// Answer records that the handler of a request has ended, or that the request is refused without
+// being handed over, and gives back what it holds. The answer may not have been sent yet.
+func (m *Machine) Answer(id ID, now time.Duration) {
+	if c := m.clients[id]; c != nil {
+		c.served = c.served || c.phase == handled
+		m.release(c)
+		m.enter(c, answering, now)
+	}
+}
+
+// End records that the connection waits for its next request, and gives back what it holds.
+func (m *Machine) End(id ID, now time.Duration) {
+	if c := m.clients[id]; c != nil {
+		c.served = c.served || c.phase == handled
+		m.release(c)
+		m.enter(c, idle, now)
+	}
+}
+
+// Hurry gives all clients at most a time to end what they have begun, for the end of the process.
+func (m *Machine) Hurry(within, now time.Duration) {
+	m.hurry = within
+	for _, c := range m.clients {
+		if c.phase == header || c.phase == body || c.phase == answering {
+			c.deadline = now + within
+		}
+	}
+}
+
+// Overdue removes and returns the connections whose time has passed.
+func (m *Machine) Overdue(now time.Duration) []ID {
+	var overdue []ID
+	for id, c := range m.clients {
+		if c.deadline > 0 && now >= c.deadline {
+			overdue = append(overdue, id)
+		}
+	}
+	for _, id := range overdue {
+		m.Close(id)
+	}
+	return overdue
+}
+
+func (m *Machine) release(c *client) {
+	m.held -= c.held
+	c.held = 0
+}
+
+// enter begins a phase, or the next step of a body.
+func (m *Machine) enter(c *client, p phase, now time.Duration) {
+	c.phase, c.progressAt, c.deadline = p, now, 0
+	// No time bounds a request that is being handled: its handler does.
+	allowed := [...]time.Duration{idle: m.times.Idle, header: m.times.Header, body: m.times.Progress, handled: 0, answering: m.times.Answer}[p]
+	if m.hurry > 0 && p != handled && p != idle {
+		allowed = m.hurry
+	}
+	if allowed > 0 {
+		c.deadline = now + allowed
+	}
+}
