internal/rpcnet: frames take memory as their bytes arrive

Cause: a frame announced as 4 MiB reserved 4 MiB at once and was read into it until it was whole; 200 connections that never end a frame took 824 MB.

Change: frames are read in steps that double the buffer. Connections that a server accepts may bound the frames with the interface Intake; their buffers above 16 KiB are released after each frame.

Run: go test ./internal/rpcnet.

--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -27,6 +27,9 @@
 	// maxKeptBufferBytes is the largest frame buffer that a connection reuses for
 	// the next frame; larger buffers are released.
 	maxKeptBufferBytes = 256 << 10
+	// firstStepBytes is the first step in which a frame is read. Each further step doubles the
+	// buffer, so that an announced length takes no memory before its bytes arrive.
+	firstStepBytes = 16 << 10
 )
 
 // ErrBadFrame is the cause of errors about malformed or oversized frames.
@@ -43,12 +46,27 @@
 	Error  string `msgpack:"e,omitempty"`
 }
 
+// errNoRoom means that there is no room for a frame, or that it was too slow.
+const errNoRoom = errors.ConstError("no room for a frame")
+
+// Intake bounds the memory of the frames that arrive on a connection. Connections that a server
+// accepts may implement it. Its methods are called by the goroutine that reads.
+type Intake interface {
+	// Take asks for room for that many bytes of the current frame in all.
+	Take(total int) bool
+	// Start is called when a frame is complete, and End before the next one is read.
+	Start()
+	End()
+}
+
 // framer reads and writes frames on one connection. Only one goroutine may read;
 // writeMu serializes writes.
 type framer struct {
-	conn    io.ReadWriteCloser
-	reader  *bufio.Reader
-	inBuf   []byte
+	conn   io.ReadWriteCloser
+	reader *bufio.Reader
+	inBuf  []byte
+	// intake is nil if nothing bounds the frames that arrive.
+	intake  Intake
 	decoder *msgpack.Decoder
 
 	writeMu sync.Mutex
@@ -67,6 +85,7 @@
 
 // readHeader reads one frame and decodes its header.
 func (f *framer) readHeader(header any) error {
+	f.endFrame()
 	var length [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(f.reader, length[:]); err != nil {
 		return err
@@ -75,11 +94,7 @@
 	if n == 0 || n > MaxFrameBytes {
 		return errors.Annotatef(ErrBadFrame, "length %d, allowed 1 to %d", n, MaxFrameBytes)
 	}
-	if cap(f.inBuf) < int(n) || cap(f.inBuf) > maxKeptBufferBytes {
-		f.inBuf = make([]byte, n)
-	}
-	f.inBuf = f.inBuf[:n]
-	if _, err := io.ReadFull(f.reader, f.inBuf); err != nil {
+	if err := f.readFrame(int(n)); err != nil {
 		return err
 	}
 	processTraffic.receivedFrames.Add(1)
@@ -90,6 +105,41 @@
 	return nil
 }
 
+// endFrame gives back the room of the frame before, and releases its buffer if it is large.
+func (f *framer) endFrame() {
+	most := maxKeptBufferBytes
+	if f.intake != nil {
+		f.intake.End()
+		most = firstStepBytes
+	}
+	if cap(f.inBuf) > most {
+		f.inBuf = nil
+	}
+}
+
+// readFrame reads n bytes into inBuf, in steps.
+func (f *framer) readFrame(n int) error {
+	f.inBuf = f.inBuf[:0]
+	for len(f.inBuf) < n {
+		read := len(f.inBuf)
+		size := min(n, max(2*read, firstStepBytes))
+		if f.intake != nil && !f.intake.Take(size) {
+			return errors.Trace(errNoRoom)
+		}
+		if cap(f.inBuf) < size {
+			f.inBuf = append(make([]byte, 0, size), f.inBuf...)
+		}
+		f.inBuf = f.inBuf[:size]
+		if _, err := io.ReadFull(f.reader, f.inBuf[read:]); err != nil {
+			return err
+		}
+	}
+	if f.intake != nil {
+		f.intake.Start()
+	}
+	return nil
+}
+
 // readBody decodes into v the body of the frame that readHeader has read. If v is
 // nil, readBody skips the body.
 func (f *framer) readBody(v any) error {
--- a/internal/rpcnet/server.go
+++ b/internal/rpcnet/server.go
@@ -10,7 +10,8 @@
 	"github.com/juju/errors"
 )
 
-// Server serves net/rpc services on a listener.
+// Server serves net/rpc services on a listener. If the connections of the listener implement
+// Intake, it bounds the frames that arrive.
 type Server struct {
 	rpc *rpc.Server
 	// OnBadFrame is called for each malformed or oversized frame; it may be nil.
@@ -99,6 +100,7 @@
 	defer s.wg.Done()
 	peer := conn.RemoteAddr().String()
 	codec := &serverCodec{framer: newFramer(&countingConn{Conn: conn, sent: &s.sent, received: &s.received})}
+	codec.intake, _ = conn.(Intake)
 	codec.onBadFrame = func(err error) {
 		if s.OnBadFrame != nil {
 			s.OnBadFrame(peer, err)
