internal/ingress: bounds for the clients of a port

Cause: see docs/design/client-limits.md. fasthttp reserves the announced body when a header arrives and keeps what was sent until the body is whole.

--- a/internal/event/http.go
+++ b/internal/event/http.go
@@ -12,6 +12,11 @@
 		Meaning: "The owner of a submission did not answer a forwarded request.",
 		Action:  "None if the owner is being replaced; otherwise check the network.",
 	}
+	HTTPClientRefused = &Event{
+		Number: 7005, Severity: Warning, Name: "client refused",
+		Meaning: "A client outside the limits was refused, or its connection was closed. With `unread_answer`, the client did not read an answer; otherwise nothing of its request has run. The line names the port and the reason: `body_too_large`, `header_too_large`, `no_room`, `no_progress` (a time has passed), `unread_answer` or `connections` (too many).",
+		Action:  "If it repeats, find the client by its address. If the client is within the limits of docs/API.md, give the process more memory or descriptors.",
+	}
 )
 
-var httpEvents = []*Event{HTTPPanic, HTTPForwardFailed}
+var httpEvents = []*Event{HTTPPanic, HTTPForwardFailed, HTTPClientRefused}
