--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -23,6 +23,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/placement"
 	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/listen"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/queues"
@@ -41,6 +42,8 @@
 	// PeerAddresses are the internal addresses of the entry instances to contact
 	// at the start. The instance's own address may be among them.
 	PeerAddresses []string
+	// Ingress bounds what arrives at the internal port; nil sets no bound.
+	Ingress *ingress.Gate
 	// Seed is the seed of the random choices; zero selects a random seed.
 	Seed int64
 }
@@ -103,6 +106,7 @@
 	if err := listen.Open(listen.Port{Name: "internal", Address: cfg.InternalAddress, Listener: &b.listener}); err != nil {
 		return nil, err
 	}
+	b.listener = cfg.Ingress.Listen("internal", 0, b.listener)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.self = wire.Peer{
 		Process: ident.Process{Instance: cfg.Instance, Incarnation: randv2.Uint64()},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/occupancy"
 	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/listen"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
@@ -45,6 +46,8 @@
 	MaxLease time.Duration
 	// ReportInterval is the time between two reports of the worker.
 	ReportInterval time.Duration
+	// Ingress bounds what arrives at the internal port; nil sets no bound.
+	Ingress *ingress.Gate
 }
 
 const (
@@ -117,6 +120,7 @@
 	if err := listen.Open(listen.Port{Name: "internal", Address: cfg.InternalAddress, Listener: &r.listener}); err != nil {
 		return nil, err
 	}
+	r.listener = cfg.Ingress.Listen("internal", 0, r.listener)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.self = wire.Peer{
 		Process: ident.Process{Instance: cfg.Instance, Incarnation: rand.Uint64()},
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -80,6 +80,7 @@
 	p.checkInt("entry.acceptWindows", int64(e.AcceptWindows), 1, maxAcceptWindows)
 	p.checkInt("entry.retainWindows", int64(e.RetainWindows), int64(min(e.AcceptWindows, maxAcceptWindows))+1, 240)
 	p.checkInt("entry.requestBytes", int64(e.RequestBytes), 1<<10, 4<<20)
+	checkIngress("entry", e.MemoryMB, e.Descriptors, p)
 	p.checkInt("entry.answerBytes", e.AnswerBytes, 1<<20, 1<<30)
 }
 
@@ -104,6 +105,7 @@
 	// the submission, which is at least two windows.
 	p.checkInt("sidecar.ledgerWindows", int64(s.LedgerWindows), 3, 241)
 	p.checkInt("sidecar.ledgerBytes", s.LedgerBytes, 1<<20, 1<<30)
+	checkIngress("sidecar", s.MemoryMB, s.Descriptors, p)
 	p.checkInt("sidecar.resultBytes", int64(s.ResultBytes), 1<<10, 2<<20)
 }
 
@@ -115,6 +117,7 @@
 	})
 	p.checkInt("standalone.backends", int64(s.Backends), 1, 64)
 	p.checkInt("standalone.slots", int64(s.Slots), 1, 1024)
+	checkIngress("standalone", s.MemoryMB, s.Descriptors, p)
 	s.Timing.check("standalone", p)
 }
 
--- /dev/null
+++ b/internal/settings/ingress.go
@@ -0,0 +1,11 @@
+package settings
+
+// checkIngress checks the memory and the descriptors that a process may use.
+func checkIngress(section string, memoryMB, descriptors int, p *ValidationError) {
+	if memoryMB < 0 {
+		p.addProblem(section+".memoryMB", memoryMB, "zero or more")
+	}
+	if descriptors < 0 {
+		p.addProblem(section+".descriptors", descriptors, "zero or more")
+	}
+}
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -38,6 +38,9 @@
 	Store string `json:"store"`
 	// MemoryMB is the memory that the process may use; zero sets no limit.
 	MemoryMB int `json:"memoryMB"`
+	// Descriptors is the number of descriptors that the process may use; zero selects a
+	// default.
+	Descriptors int `json:"descriptors"`
 	// Grace is the maximum duration of a graceful shutdown.
 	Grace Duration `json:"grace"`
 }
@@ -136,9 +139,7 @@
 			p.addProblem(section+name, port, "a port")
 		}
 	}
-	if s.MemoryMB < 0 {
-		p.addProblem(section+".memoryMB", s.MemoryMB, "zero or more")
-	}
+	checkIngress(section, s.MemoryMB, s.Descriptors, p)
 	if s.Advertise != "" {
 		checkAddress(section+".advertise", s.Advertise, p)
 	}
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -25,6 +25,7 @@
 		`"applyWithin":"-1s"`:       validBroker,
 		`"metricsPort":70000`:       validBroker,
 		`"memoryMB":-1`:             validBroker,
+		`"descriptors":-1`:          validBroker,
 		`"grace":"1s"`:              validBroker, // a second time
 		`"reportInterval":"0s"`:     validRunner,
 		`"reportInterval":"-1s"`:    validRunner,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,6 +109,10 @@
 	RequestBytes int `json:"requestBytes"`
 	// AnswerBytes bounds the memory for finished answers, in bytes.
 	AnswerBytes int64 `json:"answerBytes"`
+	// MemoryMB is the memory that the process may use, in MiB, and Descriptors the number of its
+	// descriptors. They bound what clients may hold; zero selects a default.
+	MemoryMB    int `json:"memoryMB,omitempty"`
+	Descriptors int `json:"descriptors,omitempty"`
 }
 
 // Sidecar holds the settings of a sidecar, the process that runs next to a
@@ -141,6 +145,10 @@
 	// ResultBytes is checked but not used: sidecar.MaxResultBodyBytes bounds the
 	// body of one result.
 	ResultBytes int `json:"resultBytes"`
+	// MemoryMB is the memory that the process may use, in MiB, and Descriptors the number of its
+	// descriptors. They bound what clients may hold; zero selects a default.
+	MemoryMB    int `json:"memoryMB,omitempty"`
+	Descriptors int `json:"descriptors,omitempty"`
 }
 
 // Standalone holds the settings of a process that runs all roles. A port of zero
@@ -152,6 +160,10 @@
 	Backends int `json:"backends"`
 	// Slots is the number of slots of each backend server.
 	Slots int `json:"slots"`
+	// MemoryMB is the memory that the process may use, in MiB, and Descriptors the number of its
+	// descriptors. They bound what clients may hold; zero selects a default.
+	MemoryMB    int `json:"memoryMB,omitempty"`
+	Descriptors int `json:"descriptors,omitempty"`
 	Timing
 }
 
