cardamomturnd: bounds for the clients of all ports

Change: entry instances and sidecars have the same gates; settings memoryMB and descriptors, which also set the runtime's memory limit. The bodies that are too large are refused by the gate with the same answer as before.

Run: go test ./internal/entry/... ./internal/sidecar/... ./internal/node ./internal/daemon ./internal/resourceapi ./internal/apidoc.

--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/entry"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/node"
 	"github.com/cardamomturn/cardamomturn/internal/sampleclient"
@@ -63,6 +64,8 @@
 	cfg.MaxBodyBytes = s.RequestBytes
 	cfg.AcceptWindows, cfg.RetainWindows = uint64(s.AcceptWindows), uint64(s.RetainWindows)
 	cfg.AnswerBytes = s.AnswerBytes
+	cfg.Resources = ingress.Resources{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors}
+	cfg.Resources.LimitMemory()
 	cfg.ShutdownDelay = min(maxShutdownDelay, cfg.DrainTimeout/4)
 	return cfg
 }
@@ -84,6 +87,8 @@
 	cfg.AdvertiseAddress, cfg.EntryAddresses = s.AdvertiseAddress, s.EntryAddresses
 	cfg.LedgerRetention = time.Duration(s.LedgerWindows) * s.Window.Std()
 	cfg.MaxLedgerResultBytes = s.LedgerBytes
+	cfg.Resources = ingress.Resources{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors}
+	cfg.Resources.LimitMemory()
 	return node.NewSidecar(cfg, m)
 }
 
@@ -100,6 +105,8 @@
 	cfg := entryTimingConfig(s.Timing)
 	cfg.Instance, cfg.Zone = "standalone", "zone-1"
 	cfg.CallerAddress, cfg.OperatorAddress = s.CallerAddress, s.OperatorAddress
+	cfg.Resources = ingress.Resources{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors}
+	cfg.Resources.LimitMemory()
 	return node.NewStandalone(node.StandaloneConfig{
 		Entry: cfg, Sidecar: sidecarTimingConfig(s.Timing),
 		Backends: s.Backends, Slots: s.Slots, Service: sampleclient.Service,
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
@@ -68,6 +69,8 @@
 	// before the ports close. Closing a port breaks the connections that the
 	// process has not accepted, and their requests fail.
 	ShutdownDelay time.Duration
+	// Resources are what the process may use; they bound what clients may hold.
+	Resources ingress.Resources
 	// Dial opens the connections to other processes; nil selects TCP.
 	Dial rpcnet.DialFunc
 	// Seed is the seed of the random source; zero selects a random seed.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,10 +9,13 @@
 	"time"
 
 	"github.com/juju/errors"
+	tally "github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
+	"github.com/cardamomturn/cardamomturn/internal/entry/filter/httperr"
 	"github.com/cardamomturn/cardamomturn/internal/event"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/listen"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
@@ -34,6 +37,9 @@
 	// rollout holds the revisions that the live processes have in force.
 	rollout atomic.Pointer[rollout]
 
+	// gates bound what clients and other processes hold.
+	gates ingress.Gates
+
 	callerListener, operatorListener, rpcListener net.Listener
 
 	// ctx ends when the instance stops.
@@ -55,22 +61,39 @@
 	if err := listen.Open(e.ports()...); err != nil {
 		return nil, err
 	}
+	e.openGates()
 	e.core = newCore(e)
 	e.workCache = &workCache{e: e}
 	e.heartbeater = newHeartbeater(e.ctx, e.core)
 	e.rpcServer.OnBadFrame = func(peer string, err error) { e.log(event.RPCFrameRejected, "peer", peer, "err", err) }
 	if err := e.rpcServer.Register(wire.ServiceEntry, service{e}); err != nil {
-		e.closeListeners()
+		e.Close()
 		return nil, err
 	}
-	e.callerServer = e.newServer(e.callerHandler())
-	e.operatorServer = e.newServer(e.operatorHandler())
+	e.callerServer = e.newServer("caller", e.callerHandler())
+	e.operatorServer = e.newServer("operator", e.operatorHandler())
 	return e, nil
 }
 
-// newServer returns an HTTP server with the limits of the configuration.
-func (e *Entry) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
+// openGates puts gates before the listeners.
+func (e *Entry) openGates() {
+	var scope tally.Scope
+	if e.deps.Metrics != nil {
+		scope = e.deps.Metrics.Scope()
+	}
+	e.gates = e.cfg.Resources.OpenGates(e.cfg.MaxBodyBytes, rpcnet.MaxFrameBytes, scope)
+	e.callerListener = e.gates.Clients.Listen("caller", 0, e.callerListener)
+	e.operatorListener = e.gates.Clients.Listen("operator", operatorConnections, e.operatorListener)
+	e.rpcListener = e.gates.Internal.Listen("internal", 0, e.rpcListener)
+}
+
+// operatorConnections bounds the connections of the operator port, so that they do not take the
+// room of callers.
+const operatorConnections = 256
+
+// newServer returns an HTTP server of a port with the limits of the configuration.
+func (e *Entry) newServer(port string, h fasthttp.RequestHandler) *fasthttp.Server {
+	s := &fasthttp.Server{
 		Handler:               h,
 		MaxRequestBodySize:    e.cfg.MaxBodyBytes,
 		ReadTimeout:           e.cfg.ReadTimeout,
@@ -80,6 +103,22 @@
 		ErrorHandler:          e.requestError,
 		Logger:                discardLogger{},
 	}
+	e.gates.Clients.Guard(s, ingress.Port{Name: port, Refuse: writeRefusal})
+	return s
+}
+
+// writeRefusal answers a request that is refused before a handler receives it.
+func writeRefusal(ctx *fasthttp.RequestCtx, status int) {
+	text := map[int]string{
+		fasthttp.StatusRequestEntityTooLarge:       "the request body is too large",
+		fasthttp.StatusRequestHeaderFieldsTooLarge: "the request header is too large",
+		fasthttp.StatusRequestTimeout:              "the request was not read in time",
+		fasthttp.StatusServiceUnavailable:          "there is no room for the request",
+	}[status]
+	if text == "" {
+		text = "malformed request"
+	}
+	httperr.Write(ctx, status, httperr.Body{Error: text, NotRun: true})
 }
 
 // idleTimeout is how long an idle connection stays open. It is longer than the
@@ -107,7 +146,10 @@
 func (e *Entry) closeListeners() { listen.Close(e.ports()...) }
 
 // Close closes the ports of an instance on which Run was not called.
-func (e *Entry) Close() { e.closeListeners() }
+func (e *Entry) Close() {
+	e.closeListeners()
+	e.gates.Close()
+}
 
 // CallerAddr returns the address of the caller port.
 func (e *Entry) CallerAddr() string { return e.callerListener.Addr().String() }
@@ -173,6 +215,7 @@
 // shutdown drains the instance for at most DrainTimeout and then stops it.
 func (e *Entry) shutdown() error {
 	e.SetDraining(true)
+	e.gates.Clients.Hurry()
 	end := time.Now().Add(e.cfg.DrainTimeout)
 	for e.countUnanswered() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPollInterval)
@@ -232,6 +275,7 @@
 	_ = e.callerServer.ShutdownWithContext(ctx)
 	_ = e.operatorServer.ShutdownWithContext(ctx)
 	e.wg.Wait()
+	e.gates.Close()
 }
 
 // log writes a numbered event.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
-	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
@@ -55,36 +53,6 @@
 			status, text = fasthttp.StatusRequestTimeout, "the request was not read in time"
 		}
 	}
-	if err == fasthttp.ErrBodyTooLarge {
-		status, text = fasthttp.StatusRequestEntityTooLarge, "the request body is too large"
-		discard(ctx.Conn())
-	}
 	httperr.Write(ctx, status, httperr.Body{Error: text, NotRun: true})
 	ctx.SetConnectionClose()
 }
-
-const (
-	// maxDiscardBytes and maxDiscardTime limit how much of a body that is too large
-	// is read and discarded. If no data arrives for maxDiscardSilence, discard
-	// returns.
-	maxDiscardBytes   = 64 << 20
-	maxDiscardTime    = 5 * time.Second
-	maxDiscardSilence = 100 * time.Millisecond
-)
-
-// discard reads the remaining data of a refused request. Closing a connection
-// with unread data resets it, and the client would not receive the response.
-func discard(conn net.Conn) {
-	buf := make([]byte, 64<<10)
-	end := time.Now().Add(maxDiscardTime)
-	for read := 0; read < maxDiscardBytes && time.Now().Before(end); {
-		if conn.SetReadDeadline(time.Now().Add(maxDiscardSilence)) != nil {
-			return
-		}
-		n, err := conn.Read(buf)
-		read += n
-		if err != nil {
-			return
-		}
-	}
-}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
@@ -48,6 +49,8 @@
 	// EntryAddresses are the internal addresses of entry instances or of a load
 	// balancer in front of them.
 	EntryAddresses []string
+	// Resources are what the process may use; they bound what clients may hold.
+	Resources ingress.Resources
 	// Dial opens the connections to entry instances; nil selects TCP.
 	Dial rpcnet.DialFunc
 	// Attachments is the number of entry instances that the sidecar attaches to.
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -5,17 +5,23 @@
 	"net"
 
 	"github.com/fasthttp/router"
+	tally "github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/metrics"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
 	"github.com/cardamomturn/cardamomturn/internal/sidecar/announce"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// httpConcurrency bounds the concurrent connections of one HTTP port.
-const httpConcurrency = 256
+// httpConcurrency bounds the concurrent connections of one HTTP port. Beyond portConnections, one
+// that does the least gives way to a new one.
+const (
+	httpConcurrency = 256
+	portConnections = httpConcurrency / 2
+)
 
 // errorBody is the body of an error response.
 type errorBody struct {
@@ -53,7 +59,7 @@
 	Results int `json:"results"`
 }
 
-func (s *Sidecar) serveHTTP(lis net.Listener, r *router.Router) {
+func (s *Sidecar) serveHTTP(port string, lis net.Listener, r *router.Router) {
 	srv := &fasthttp.Server{
 		Name:               "cardamomturn",
 		Handler:            r.Handler,
@@ -64,10 +70,28 @@
 		CloseOnShutdown:    true,
 		Logger:             discardLogger{},
 	}
+	s.gates.Clients.Guard(srv, ingress.Port{Name: port, Refuse: writeRefusal})
 	s.httpServers = append(s.httpServers, srv)
 	go srv.Serve(lis)
 }
 
+// openGates puts gates before the listeners.
+func (s *Sidecar) openGates() {
+	var scope tally.Scope
+	if s.deps.Metrics != nil {
+		scope = s.deps.Metrics.Scope()
+	}
+	s.gates = s.cfg.Resources.OpenGates(announce.MaxBodyBytes, rpcnet.MaxFrameBytes, scope)
+	s.localListener = s.gates.Clients.Listen("local", portConnections, s.localListener)
+	s.operatorListener = s.gates.Clients.Listen("operator", portConnections, s.operatorListener)
+	s.internalListener = s.gates.Internal.Listen("internal", 0, s.internalListener)
+}
+
+// writeRefusal answers a request that is refused before a handler receives it.
+func writeRefusal(ctx *fasthttp.RequestCtx, status int) {
+	writeJSON(ctx, status, errorBody{"the request is outside the limits, or there is no room for it"})
+}
+
 // discardLogger discards the log messages of fasthttp, most of which report broken
 // connections.
 type discardLogger struct{}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/slots"
+	"github.com/cardamomturn/cardamomturn/internal/ingress"
 	"github.com/cardamomturn/cardamomturn/internal/listen"
 	"github.com/cardamomturn/cardamomturn/internal/resource"
 	"github.com/cardamomturn/cardamomturn/internal/rpcnet"
@@ -41,8 +42,10 @@
 	self wire.Peer
 
 	localListener, internalListener, operatorListener net.Listener
-	rpcServer                                         *rpcnet.Server
-	httpServers                                       []*fasthttp.Server
+	// gates bound what clients and entry instances hold.
+	gates       ingress.Gates
+	rpcServer   *rpcnet.Server
+	httpServers []*fasthttp.Server
 
 	events chan func()
 	stop   chan struct{}
@@ -97,6 +100,7 @@
 	if err := listen.Open(s.ports()...); err != nil {
 		return nil, err
 	}
+	s.openGates()
 	address := cfg.AdvertiseAddress
 	if address == "" {
 		address = s.InternalAddr()
@@ -153,8 +157,8 @@
 	go s.rpcServer.Serve(s.internalListener)
 	s.deps.Log("started", "%s, local %s, internal %s, operator %s", s.self.Process, s.LocalAddr(), s.InternalAddr(), s.OperatorAddr())
 	defer s.deps.Log("stopped", "%s", s.self.Process)
-	s.serveHTTP(s.localListener, s.localRoutes())
-	s.serveHTTP(s.operatorListener, s.operatorRoutes())
+	s.serveHTTP("local", s.localListener, s.localRoutes())
+	s.serveHTTP("operator", s.operatorListener, s.operatorRoutes())
 	go func() {
 		select {
 		case <-ctx.Done():
@@ -171,10 +175,12 @@
 	close(s.coreDone)
 	s.cancel()
 	s.rpcServer.Close()
+	s.gates.Clients.Hurry()
 	for _, h := range s.httpServers {
 		h.Shutdown()
 	}
 	s.closeListeners()
+	s.gates.Close()
 	for _, l := range s.links {
 		l.client.Close()
 	}
