internal/chunks: bodies and frames are collected in chunks that are used again

Cause: a buffer that doubles by copies leaves the collector as much memory as has arrived, and the budget is given back before the collector has freed it.

Change: bodies and frames beyond 16 KiB are collected in chunks from a pool and copied once when they are whole.

Run: go test ./internal/chunks ./internal/rpcnet, go test -race -count=4 ./internal/ingress.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -4,6 +4,8 @@
 	"io"
 
 	"github.com/juju/errors"
+
+	"github.com/cardamomturn/cardamomturn/internal/chunks"
 )
 
 const (
@@ -21,36 +23,58 @@
 
 // read returns the whole body. Errors are errBodyTooLarge, errNoRoom, or those of the stream.
 func (b *bodyReader) read() ([]byte, error) {
-	if b.length > b.limit {
+	switch {
+	case b.length > b.limit:
 		return nil, errBodyTooLarge
+	case b.length == 0:
+		return nil, nil
+	case b.length > 0 && b.length <= stepBytes:
+		return b.readSmall()
+	}
+	return b.readLarge()
+}
+
+// readSmall reads an announced body of one step.
+func (b *bodyReader) readSmall() ([]byte, error) {
+	if !b.conn.Take(b.length) {
+		return nil, errNoRoom
+	}
+	body := make([]byte, b.length)
+	if _, err := io.ReadFull(b.stream, body); err != nil {
+		return nil, err
 	}
-	// most is the largest buffer. Without an announced length, a byte beyond the limit shows that
+	return body, nil
+}
+
+// readLarge reads a body in steps, of which each takes as much room as the ones before.
+func (b *bodyReader) readLarge() ([]byte, error) {
+	var buffer chunks.Buffer
+	defer buffer.Release()
+	// most is the largest room. Without an announced length, a byte beyond the limit shows that
 	// the body is too large.
 	most := b.length
 	if most < 0 {
 		most = b.limit + 1
 	}
-	var body []byte
-	for b.length != 0 {
-		if len(body) == cap(body) {
-			size := min(max(2*cap(body), stepBytes), most)
-			if !b.conn.Take(size) {
+	for room := 0; ; {
+		if buffer.Len() == room {
+			room = min(max(2*room, stepBytes), most)
+			if !b.conn.Take(room) {
 				return nil, errNoRoom
 			}
-			body = append(make([]byte, 0, size), body...)
 		}
-		n, err := b.stream.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		space := buffer.Free()
+		n, err := b.stream.Read(space[:min(len(space), room-buffer.Len())])
+		buffer.Add(n)
 		switch {
-		case len(body) > b.limit:
+		case buffer.Len() > b.limit:
 			return nil, errBodyTooLarge
-		case len(body) == b.length, errors.Is(err, io.EOF) && b.length < 0:
-			return body, nil
+		case buffer.Len() == b.length, errors.Is(err, io.EOF) && b.length < 0:
+			return buffer.AppendTo(make([]byte, 0, buffer.Len())), nil
 		case errors.Is(err, io.EOF):
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
 		}
 	}
-	return body, nil
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,12 +8,13 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cardamomturn/cardamomturn/internal/chunks"
 	decision "github.com/cardamomturn/cardamomturn/internal/decision/ingress"
 )
 
 // stepBytes is the number of bytes of a body after which a client has made progress, and the
 // first step in which a body is read.
-const stepBytes = 16 << 10
+const stepBytes = chunks.Size
 
 // Conn is a connection of a Gate. Only the goroutine that serves it may call Read, Take, Start,
 // Answer and End.
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -42,8 +42,11 @@
 // Gate bounds what the clients of a group of ports hold. Its methods are safe for concurrent use.
 // A nil Gate bounds nothing.
 type Gate struct {
-	scope  tally.Scope
-	start  time.Time
+	scope tally.Scope
+	start time.Time
+	// clock is the time since start at the last sweep. Reading the time for each step of a
+	// request would cost more than the step.
+	clock  atomic.Int64
 	limits atomic.Pointer[queues.Limits]
 	stop   chan struct{}
 	once   sync.Once
@@ -60,6 +63,7 @@
 		scope = tally.NoopScope
 	}
 	g := &Gate{scope: scope.Tagged(map[string]string{"group": group}), start: time.Now(), stop: make(chan struct{}), conns: map[decision.ID]*Conn{}}
+	g.clock.Store(1) // a time of zero means none
 	g.machine = decision.New(b, decision.Times{})
 	g.SetLimits(queues.Limits{})
 	go g.sweepUntilStopped()
@@ -110,7 +114,8 @@
 	return g.machine.Held(), g.machine.Connections()
 }
 
-func (g *Gate) now() time.Duration { return time.Since(g.start) }
+// now returns the time since the start of the gate, up to sweepInterval late.
+func (g *Gate) now() time.Duration { return time.Duration(g.clock.Load()) }
 
 // Listen returns a listener whose connections are those of the gate. The port may have at most
 // portBound connections; zero sets no bound of its own.
@@ -198,7 +203,8 @@
 
 // sweep closes the connections whose time has passed, and updates the gauges.
 func (g *Gate) sweep() {
-	now := g.now()
+	now := time.Since(g.start)
+	g.clock.Store(int64(now))
 	g.mu.Lock()
 	slow := g.remove(g.machine.Overdue(now))
 	var unread []*Conn
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -16,6 +16,8 @@
 
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cardamomturn/cardamomturn/internal/chunks"
 )
 
 // MaxFrameBytes is the largest size of a frame without its length prefix.
@@ -27,8 +29,8 @@
 	// maxKeptBufferBytes is the largest frame buffer that a connection reuses for
 	// the next frame; larger buffers are released.
 	maxKeptBufferBytes = 256 << 10
-	// firstStepBytes is the first step in which a frame is read. Each further step doubles the
-	// buffer, so that an announced length takes no memory before its bytes arrive.
+	// firstStepBytes is the first step in which a frame is read. Each further step takes as much
+	// room as the ones before, so that an announced length takes none before its bytes arrive.
 	firstStepBytes = 16 << 10
 )
 
@@ -117,27 +119,57 @@
 	}
 }
 
-// readFrame reads n bytes into inBuf, in steps.
+// readFrame reads n bytes into inBuf.
 func (f *framer) readFrame(n int) error {
 	f.inBuf = f.inBuf[:0]
-	for len(f.inBuf) < n {
-		read := len(f.inBuf)
-		size := min(n, max(2*read, firstStepBytes))
-		if f.intake != nil && !f.intake.Take(size) {
-			return errors.Trace(errNoRoom)
-		}
-		if cap(f.inBuf) < size {
-			f.inBuf = append(make([]byte, 0, size), f.inBuf...)
+	if n <= max(cap(f.inBuf), firstStepBytes) {
+		return f.readSmallFrame(n)
+	}
+	var buffer chunks.Buffer
+	defer buffer.Release()
+	for room := 0; buffer.Len() < n; {
+		if buffer.Len() == room {
+			room = min(n, max(2*room, firstStepBytes))
+			if !f.take(room) {
+				return errors.Trace(errNoRoom)
+			}
 		}
-		f.inBuf = f.inBuf[:size]
-		if _, err := io.ReadFull(f.reader, f.inBuf[read:]); err != nil {
+		space := buffer.Free()
+		read, err := io.ReadFull(f.reader, space[:min(len(space), room-buffer.Len())])
+		buffer.Add(read)
+		if err != nil {
 			return err
 		}
 	}
+	f.inBuf = buffer.AppendTo(make([]byte, 0, n))
+	f.startFrame()
+	return nil
+}
+
+// readSmallFrame reads a frame that fits into one step, or into the buffer of the frame before.
+func (f *framer) readSmallFrame(n int) error {
+	if !f.take(n) {
+		return errors.Trace(errNoRoom)
+	}
+	if cap(f.inBuf) < n {
+		f.inBuf = make([]byte, n)
+	}
+	f.inBuf = f.inBuf[:n]
+	if _, err := io.ReadFull(f.reader, f.inBuf); err != nil {
+		return err
+	}
+	f.startFrame()
+	return nil
+}
+
+// take asks for room for that many bytes of the current frame in all.
+func (f *framer) take(total int) bool { return f.intake == nil || f.intake.Take(total) }
+
+// startFrame records that the current frame is complete.
+func (f *framer) startFrame() {
 	if f.intake != nil {
 		f.intake.Start()
 	}
-	return nil
 }
 
 // readBody decodes into v the body of the frame that readHeader has read. If v is
