--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -36,7 +36,8 @@
 	Seeds []string `json:"seeds"`
 	// Store is the "ip:port" of the platform's key-value store.
 	Store string `json:"store"`
-	// MemoryMB is the memory that the process may use; zero sets no limit.
+	// MemoryMB is the memory that the process may use. Zero sets no limit, but selects a default
+	// for what clients may hold.
 	MemoryMB int `json:"memoryMB"`
 	// Descriptors is the number of descriptors that the process may use; zero selects a
 	// default.
