--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -16,6 +16,8 @@
 
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cardamomturn/cardamomturn/internal/chunks"
 )
 
 // MaxFrameBytes is the largest size of a frame without its length prefix.
@@ -27,6 +29,9 @@
 	// maxKeptBufferBytes is the largest frame buffer that a connection reuses for
 	// the next frame; larger buffers are released.
 	maxKeptBufferBytes = 256 << 10
+	// firstStepBytes is the first step in which a frame is read. Each further step takes as much
+	// room as the ones before, so that an announced length takes none before its bytes arrive.
+	firstStepBytes = 16 << 10
 )
 
 // ErrBadFrame is the cause of errors about malformed or oversized frames.
@@ -43,12 +48,27 @@
 	Error  string `msgpack:"e,omitempty"`
 }
 
+// errNoRoom means that there is no room for a frame, or that it was too slow.
+const errNoRoom = errors.ConstError("no room for a frame")
+
+// Intake bounds the memory of the frames that arrive on a connection. Connections that a server
+// accepts may implement it. Its methods are called by the goroutine that reads.
+type Intake interface {
+	// Take asks for room for that many bytes of the current frame in all.
+	Take(total int) bool
+	// Start is called when a frame is complete, and End before the next one is read.
+	Start()
+	End()
+}
+
 // framer reads and writes frames on one connection. Only one goroutine may read;
 // writeMu serializes writes.
 type framer struct {
-	conn    io.ReadWriteCloser
-	reader  *bufio.Reader
-	inBuf   []byte
+	conn   io.ReadWriteCloser
+	reader *bufio.Reader
+	inBuf  []byte
+	// intake is nil if nothing bounds the frames that arrive.
+	intake  Intake
 	decoder *msgpack.Decoder
 
 	writeMu sync.Mutex
@@ -67,6 +87,7 @@
 
 // readHeader reads one frame and decodes its header.
 func (f *framer) readHeader(header any) error {
+	f.endFrame()
 	var length [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(f.reader, length[:]); err != nil {
 		return err
@@ -75,11 +96,7 @@
 	if n == 0 || n > MaxFrameBytes {
 		return errors.Annotatef(ErrBadFrame, "length %d, allowed 1 to %d", n, MaxFrameBytes)
 	}
-	if cap(f.inBuf) < int(n) || cap(f.inBuf) > maxKeptBufferBytes {
-		f.inBuf = make([]byte, n)
-	}
-	f.inBuf = f.inBuf[:n]
-	if _, err := io.ReadFull(f.reader, f.inBuf); err != nil {
+	if err := f.readFrame(int(n)); err != nil {
 		return err
 	}
 	processTraffic.receivedFrames.Add(1)
@@ -90,6 +107,71 @@
 	return nil
 }
 
+// endFrame gives back the room of the frame before, and releases its buffer if it is large.
+func (f *framer) endFrame() {
+	most := maxKeptBufferBytes
+	if f.intake != nil {
+		f.intake.End()
+		most = firstStepBytes
+	}
+	if cap(f.inBuf) > most {
+		f.inBuf = nil
+	}
+}
+
+// readFrame reads n bytes into inBuf.
+func (f *framer) readFrame(n int) error {
+	f.inBuf = f.inBuf[:0]
+	if n <= max(cap(f.inBuf), firstStepBytes) {
+		return f.readSmallFrame(n)
+	}
+	var buffer chunks.Buffer
+	defer buffer.Release()
+	for room := 0; buffer.Len() < n; {
+		if buffer.Len() == room {
+			room = min(n, max(2*room, firstStepBytes))
+			if !f.take(room) {
+				return errors.Trace(errNoRoom)
+			}
+		}
+		space := buffer.Free()
+		read, err := io.ReadFull(f.reader, space[:min(len(space), room-buffer.Len())])
+		buffer.Add(read)
+		if err != nil {
+			return err
+		}
+	}
+	f.inBuf = buffer.AppendTo(make([]byte, 0, n))
+	f.startFrame()
+	return nil
+}
+
+// readSmallFrame reads a frame that fits into one step, or into the buffer of the frame before.
+func (f *framer) readSmallFrame(n int) error {
+	if !f.take(n) {
+		return errors.Trace(errNoRoom)
+	}
+	if cap(f.inBuf) < n {
+		f.inBuf = make([]byte, n)
+	}
+	f.inBuf = f.inBuf[:n]
+	if _, err := io.ReadFull(f.reader, f.inBuf); err != nil {
+		return err
+	}
+	f.startFrame()
+	return nil
+}
+
+// take asks for room for that many bytes of the current frame in all.
+func (f *framer) take(total int) bool { return f.intake == nil || f.intake.Take(total) }
+
+// startFrame records that the current frame is complete.
+func (f *framer) startFrame() {
+	if f.intake != nil {
+		f.intake.Start()
+	}
+}
+
 // readBody decodes into v the body of the frame that readHeader has read. If v is
 // nil, readBody skips the body.
 func (f *framer) readBody(v any) error {
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -36,8 +36,12 @@
 	Seeds []string `json:"seeds"`
 	// Store is the "ip:port" of the platform's key-value store.
 	Store string `json:"store"`
-	// MemoryMB is the memory that the process may use; zero sets no limit.
+	// MemoryMB is the memory that the process may use. Zero sets no limit, but selects a default
+	// for what clients may hold.
 	MemoryMB int `json:"memoryMB"`
+	// Descriptors is the number of descriptors that the process may use; zero selects a
+	// default.
+	Descriptors int `json:"descriptors"`
 	// Grace is the maximum duration of a graceful shutdown.
 	Grace Duration `json:"grace"`
 	// EvacuateWithin is the maximum time until the evacuation of an availability zone is in force.
@@ -142,9 +146,7 @@
 			p.addProblem(section+name, port, "a port")
 		}
 	}
-	if s.MemoryMB < 0 {
-		p.addProblem(section+".memoryMB", s.MemoryMB, "zero or more")
-	}
+	checkIngress(section, s.MemoryMB, s.Descriptors, p)
 	if s.Advertise != "" {
 		checkAddress(section+".advertise", s.Advertise, p)
 	}
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -25,6 +25,7 @@
 		`"applyWithin":"-1s"`:       validBroker,
 		`"metricsPort":70000`:       validBroker,
 		`"memoryMB":-1`:             validBroker,
+		`"descriptors":-1`:          validBroker,
 		`"grace":"1s"`:              validBroker, // a second time
 		`"evacuateWithin":"-1s"`:    validBroker,
 		`"evacuateWithin":"1ms"`:    validRunner,
