A sidecar waits 50 ms after the first evacuation state for a newer one

After a loss of power of all machines, sidecars of sites with evacuations opened up to 0.35 s late: they waited for the first heartbeat to each entry instance, and connections to machines that have no power yet time out after that long.

After the first state, the sidecar now waits for the others for 50 ms at most. An entry instance that lives answers sooner; a silent one sends no runs.

TestStateWaitAfterFirstState fails before.

--- a/internal/runner/evacuation.go
+++ b/internal/runner/evacuation.go
@@ -14,6 +14,10 @@
 // not heard of the evacuation state. Within it, each entry instance has answered or timed out.
 const maxStateWait = 2 * time.Second
 
+// stateSettle is the time after the first state for which the sidecar waits for entry instances that
+// know a newer one. One that lives answers sooner; one that is silent is not waited for.
+const stateSettle = 50 * time.Millisecond
+
 // heartbeatWithin returns the longest time between two heartbeats to an entry instance that
 // answers. Reports and batches, which put off heartbeats, don't name the zones under evacuation.
 func (r *Runner) heartbeatWithin() time.Duration {
@@ -37,15 +41,28 @@
 // applyEvacuation takes over the evacuation state in a reply of an entry instance, nil if there is
 // none, unless a newer one is known; mu is held.
 func (r *Runner) applyEvacuation(now time.Duration, state *evacuation.State, from string) {
+	knew := r.evacuation.Ready()
 	if r.evacuation.Apply(state, from) {
 		r.machine.SetEvacuated(now, r.zoneEvacuated())
 	}
+	if !knew && r.evacuation.Ready() && r.stateWaitEnds > now+stateSettle {
+		r.stateWaitEnds = now + stateSettle
+		time.AfterFunc(stateSettle, r.endStateWait)
+	}
+}
+
+// endStateWait makes the sidecar accept runs once it awaits no newer state.
+func (r *Runner) endStateWait() {
+	now := r.lockAndDropSilentOwners()
+	defer r.runMachineAndUnlock(now)
+	r.updateAvailability(now)
 }
 
 // awaitsState reports whether the sidecar has just started and has to accept no runs yet, because an
-// entry instance may know of an evacuation that others don't know; mu is held. It waits for a state and
-// the end of the first heartbeat to each entry instance. The wait is bounded: afterwards, entry
-// instances that answer have no state, and those with evacuations send no runs without one.
+// entry instance may know of an evacuation that others don't know; mu is held. It waits for a state, and
+// then for the end of the first heartbeat to each entry instance, or for stateSettle. The wait is
+// bounded: afterwards, entry instances that answer have no state, and those with evacuations send no
+// runs without one.
 func (r *Runner) awaitsState(now time.Duration) bool {
 	if r.stateWaitEnds > 0 && (now >= r.stateWaitEnds || r.evacuation.Ready() && r.allTried()) {
 		r.stateWaitEnds = 0
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// Guards against a sidecar that stays closed after a loss of power while connections to machines that
+// have not started yet time out, although another entry instance has told it the state.
+func TestStateWaitAfterFirstState(t *testing.T) {
+	r, now := newRunnerWithDroppedOwner(t, work.RunID{Task: work.TaskID{Job: "a"}, Attempt: 1})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.EvacuateWithin, r.evacuation = 2*time.Second, zones.NewHolder(true, nil)
+	r.stateWaitEnds = now + time.Minute
+	silent := &entryClient{runner: r, wakeCh: make(chan struct{}, 1)}
+	r.entries["silent"] = silent
+	defer delete(r.entries, "silent")
+	r.applyEvacuation(now, &evacuation.State{Revision: 1}, "test")
+	if !r.awaitsState(now) || r.awaitsState(now+stateSettle) {
+		t.Errorf("waits until %v after the first state, want %v", r.stateWaitEnds-now, stateSettle)
+	}
+}
+
 // Guards against a sidecar that opens a second late, because the entry instance had no state yet when
 // it answered the first heartbeats.
 func TestHeartbeatsWithoutState(t *testing.T) {
