rpcnet: check the shape of a frame before it is decoded

Cause: the msgpack decoder allocates an announced array before it reads its elements. Its limit for this is not in force for slices of structs, and it calls itself for each array or map inside another, also in a field that it skips. In a trial, a frame of 40 bytes that announces 1M elements of 100 bytes took 200 MiB; one that announces 4G elements, or 4 MiB of nested arrays, ends the process. The budget of the internal port counts only the bytes that arrive.

--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -1,8 +1,9 @@
 // Package rpcnet runs net/rpc over length-prefixed msgpack frames. A frame is a
 // big-endian uint32 length followed by that number of bytes: the header, then the
 // body. A receiver closes the connection on an empty frame, a frame above
-// MaxFrameBytes or a header that it cannot decode. On a body that it cannot decode, a
-// server replies with an error, and a client closes the connection.
+// MaxFrameBytes, values that announce more than the frame contains, and a header that
+// it cannot decode. On another body that it cannot decode, a server replies with an
+// error, and a client closes the connection.
 package rpcnet
 
 import (
@@ -100,6 +101,9 @@
 		return err
 	}
 	processTraffic.receivedFrames.Add(1)
+	if err := checkShape(f.inBuf); err != nil {
+		return err
+	}
 	f.decoder.Reset(bytes.NewReader(f.inBuf))
 	if err := f.decoder.Decode(header); err != nil {
 		return errors.Annotatef(ErrBadFrame, "header: %v", err)
