ingress: a request of a connection that was closed is not handed over

Cause: the gate may close a connection for another one, or because its time has passed, between the last byte of a request and its handler. The machine gave back what the request held and the log said that nothing of it has run, but the handler ran it, with memory outside the budget. The same holds for frames of the internal port.

Change: Start returns false if the connection has been closed. The HTTP port then refuses the request, and the framer ends the connection.

--- a/internal/decision/ingress/ingress.go
+++ b/internal/decision/ingress/ingress.go
@@ -173,11 +173,15 @@
 	return closed, true
 }
 
-// Start records that a request is complete and is handed over.
-func (m *Machine) Start(id ID, now time.Duration) {
-	if c := m.clients[id]; c != nil {
-		m.enter(c, handled, now)
+// Start records that a request is complete and is handed over. It returns false if the connection
+// has been closed meanwhile; the request must not be handed over then.
+func (m *Machine) Start(id ID, now time.Duration) bool {
+	c := m.clients[id]
+	if c == nil {
+		return false
 	}
+	m.enter(c, handled, now)
+	return true
 }
 
 // Answer records that the handler of a request has ended, or that the request is refused without
--- a/internal/decision/ingress/ingress_test.go
+++ b/internal/decision/ingress/ingress_test.go
@@ -225,3 +225,16 @@
 		t.Errorf("connections left: %v", m.clients)
 	}
 }
+
+// Guards against a request that is handed over although its connection was closed for others.
+func TestStartAfterClose(t *testing.T) {
+	m := New(testBounds, Times{})
+	id := open(t, m, 1)
+	if !m.Start(id, 2) {
+		t.Error("the request of an open connection is not handed over")
+	}
+	m.Close(id)
+	if m.Start(id, 3) {
+		t.Error("the request of a closed connection is handed over")
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -91,10 +91,13 @@
 	return ok
 }
 
-// Start records that the request is complete and is handed over.
-func (c *Conn) Start() {
+// Start records that the request is complete and is handed over. It returns false if the gate has
+// closed the connection meanwhile; the request must not be handed over then.
+func (c *Conn) Start() bool {
 	c.answered = false
-	c.update((*decision.Machine).Start)
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.gate.machine.Start(c.id, c.gate.now())
 }
 
 // Answer records that the handler of the request has ended, or that the request is refused, and
--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -102,7 +102,10 @@
 	if !p.readBody(ctx, conn) {
 		return
 	}
-	conn.Start()
+	if !conn.Start() {
+		p.write(ctx, fasthttp.StatusServiceUnavailable)
+		return
+	}
 	p.next(ctx)
 	// The body would be kept until the client has read the answer.
 	ctx.Request.ResetBody()
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -57,8 +57,9 @@
 type Intake interface {
 	// Take asks for room for that many bytes of the current frame in all.
 	Take(total int) bool
-	// Start is called when a frame is complete, and End before the next one is read.
-	Start()
+	// Start is called when a frame is complete, and End before the next one is read. Start returns
+	// false if the connection was closed meanwhile; the frame must not be handled then.
+	Start() bool
 	End()
 }
 
@@ -146,8 +147,7 @@
 		}
 	}
 	f.inBuf = buffer.AppendTo(make([]byte, 0, n))
-	f.startFrame()
-	return nil
+	return f.startFrame()
 }
 
 // readSmallFrame reads a frame that fits into one step, or into the buffer of the frame before.
@@ -162,18 +162,18 @@
 	if _, err := io.ReadFull(f.reader, f.inBuf); err != nil {
 		return err
 	}
-	f.startFrame()
-	return nil
+	return f.startFrame()
 }
 
 // take asks for room for that many bytes of the current frame in all.
 func (f *framer) take(total int) bool { return f.intake == nil || f.intake.Take(total) }
 
 // startFrame records that the current frame is complete.
-func (f *framer) startFrame() {
-	if f.intake != nil {
-		f.intake.Start()
+func (f *framer) startFrame() error {
+	if f.intake != nil && !f.intake.Start() {
+		return errors.Trace(errNoRoom)
 	}
+	return nil
 }
 
 // readBody decodes into v the body of the frame that readHeader has read. If v is
