--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -25,6 +25,9 @@
 	writeTime = 30 * time.Second
 	// sweepInterval is the time between two searches for connections whose time has passed.
 	sweepInterval = 250 * time.Millisecond
+	// maxClockStep bounds what a sweep adds to the clock, so that a pause of the process does not
+	// count as time that its clients have taken.
+	maxClockStep = 2 * sweepInterval
 )
 
 // reason is why a request was refused or a connection closed: a value of a metric's label.
@@ -43,13 +46,14 @@
 // A nil Gate bounds nothing.
 type Gate struct {
 	scope tally.Scope
-	start time.Time
-	// clock is the time since start at the last sweep. Reading the time for each step of a
-	// request would cost more than the step.
-	clock  atomic.Int64
-	limits atomic.Pointer[queues.Limits]
-	stop   chan struct{}
-	once   sync.Once
+	// clock is the time at the last sweep, without pauses of the process. Reading the time for each
+	// step of a request would cost more than the step.
+	clock atomic.Int64
+	// sweptAt is the time of the last sweep. Only sweep uses it.
+	sweptAt time.Time
+	limits  atomic.Pointer[queues.Limits]
+	stop    chan struct{}
+	once    sync.Once
 
 	mu      sync.Mutex // guards the fields below
 	machine *decision.Machine
@@ -62,7 +66,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	g := &Gate{scope: scope.Tagged(map[string]string{"group": group}), start: time.Now(), stop: make(chan struct{}), conns: map[decision.ID]*Conn{}}
+	g := &Gate{scope: scope.Tagged(map[string]string{"group": group}), sweptAt: time.Now(), stop: make(chan struct{}), conns: map[decision.ID]*Conn{}}
 	g.clock.Store(1) // a time of zero means none
 	g.machine = decision.New(b, decision.Times{})
 	g.SetLimits(queues.Limits{})
@@ -83,9 +87,16 @@
 	if g == nil {
 		return
 	}
-	times := decision.Times{Header: defaultHeaderTime, Progress: defaultProgressTime, Answer: writeTime, Idle: max(l.IdleTimeout, 0)}
+	times := decision.Times{
+		Header:   atLeast(defaultHeaderTime),
+		Progress: atLeast(defaultProgressTime),
+		Answer:   atLeast(writeTime),
+	}
 	if l.HeaderTimeout > 0 {
-		times.Header = l.HeaderTimeout
+		times.Header = atLeast(l.HeaderTimeout)
+	}
+	if l.IdleTimeout > 0 {
+		times.Idle = atLeast(l.IdleTimeout)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -93,6 +104,10 @@
 	g.machine.SetTimes(times)
 }
 
+// atLeast returns the time on the clock in which at least d passes, since the clock may be late
+// by maxClockStep when the time begins.
+func atLeast(d time.Duration) time.Duration { return d + maxClockStep }
+
 // hurryTime is what clients get to end what they have begun when the process ends.
 const hurryTime = time.Second
 
@@ -114,7 +129,7 @@
 	return g.machine.Held(), g.machine.Connections()
 }
 
-// now returns the time since the start of the gate, up to sweepInterval late.
+// now returns the time of the clock, up to maxClockStep late.
 func (g *Gate) now() time.Duration { return time.Duration(g.clock.Load()) }
 
 // Listen returns a listener whose connections are those of the gate. The port may have at most
@@ -203,13 +218,14 @@
 
 // sweep closes the connections whose time has passed, and updates the gauges.
 func (g *Gate) sweep() {
-	now := time.Since(g.start)
-	g.clock.Store(int64(now))
+	elapsed := time.Since(g.sweptAt)
+	g.sweptAt = g.sweptAt.Add(elapsed)
+	now := time.Duration(g.clock.Add(int64(min(elapsed, maxClockStep))))
 	g.mu.Lock()
 	slow := g.remove(g.machine.Overdue(now))
 	var unread []*Conn
 	for id, c := range g.conns {
-		if since := c.writingSince.Load(); since > 0 && now-time.Duration(since) > writeTime {
+		if since := c.writingSince.Load(); since > 0 && now-time.Duration(since) > atLeast(writeTime) {
 			g.machine.Close(id)
 			unread = append(unread, g.remove([]decision.ID{id})...)
 		}
