ingress: a refused Expect request has the body of other refusals

Cause: a request with Expect: 100-continue that announced too much got status 413 without a body, so a client of the Job API did not read "notRun". Clients that send large bodies often ask first.

Change: the answer is written like that of other refused requests.

Run: TestSizes, which now checks the body of each answer, failed for this case before the change and passes with it; internal/ingress passes with -race.

--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -73,7 +73,7 @@
 // expect answers a client that asks whether to send a body.
 func (p *httpPort) expect(ctx *fasthttp.RequestCtx) int {
 	if ctx.Request.Header.ContentLength() > p.bodyLimit() {
-		p.gate.record(p.Name, bodyTooLarge, ctx.Conn())
+		p.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, bodyTooLarge)
 		return fasthttp.StatusRequestEntityTooLarge
 	}
 	return fasthttp.StatusContinue
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -23,6 +23,8 @@
 	testBodyBytes = 64 << 10
 	// hangTimeout only ends a test that hangs.
 	hangTimeout = 20 * time.Second
+	// refusalText is the body of an answer that refuses a request.
+	refusalText = "refused"
 )
 
 var testBounds = decision.Bounds{Bytes: 160 << 10, Reserve: 32 << 10, StepBytes: stepBytes, Connections: 32}
@@ -51,7 +53,10 @@
 		handler(ctx)
 	}
 	s := &fasthttp.Server{Handler: counted, MaxRequestBodySize: testBodyBytes, ReduceMemoryUsage: true, ReadBufferSize: 16 << 10, Logger: quiet{}}
-	f.gate.Guard(s, Port{Name: "test"})
+	f.gate.Guard(s, Port{Name: "test", Refuse: func(ctx *fasthttp.RequestCtx, status int) {
+		ctx.SetStatusCode(status)
+		fmt.Fprint(ctx, refusalText)
+	}})
 	go s.Serve(f.gate.Listen("test", 0, lis))
 	t.Cleanup(func() {
 		if err := s.Shutdown(); err != nil {
@@ -90,6 +95,10 @@
 		t.Fatal(err)
 	}
 	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || (string(body) == refusalText) != (resp.StatusCode >= 400) {
+		t.Errorf("status %d with body %q, %v", resp.StatusCode, body, err)
+	}
 	return resp
 }
 
