rpcnet: a server stops reading while its answers are not read

Cause: net/rpc starts a goroutine for each request and goes on reading. A neighbour that sends valid requests and reads no answer left a growing number of them waiting for the first answer to be written, up to the 30 s after which the gate closes the connection. The budget does not count them, since a frame is given back when the next one is read.

Change: with 16 unanswered requests of a connection, the server reads the next one only when it is not writing an answer on it. Requests in handlers do not count as writing, so calls that wait long still leave room for others. The server's codec has a file of its own.

Run: TestUnreadAnswersStopReading failed without the wait and passes with it; internal/rpcnet passes with -race.

--- a/internal/rpcnet/bench_test.go
+++ b/internal/rpcnet/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -22,7 +24,12 @@
 }
 
 // BenchmarkCall measures sequential small calls over the loopback interface.
-func BenchmarkCall(b *testing.B) {
+func BenchmarkCall(b *testing.B) { benchmarkCalls(b, 1) }
+
+// BenchmarkConcurrentCalls measures small calls of many callers on one connection.
+func BenchmarkConcurrentCalls(b *testing.B) { benchmarkCalls(b, 64) }
+
+func benchmarkCalls(b *testing.B, callers int) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -37,10 +44,19 @@
 	defer c.Close()
 	req := &BenchArgs{Text: "task", Bytes: []byte("payload")}
 	b.ReportAllocs()
-	for b.Loop() {
-		var reply BenchArgs
-		if err := c.Call(context.Background(), "Bench.Echo", req, &reply); err != nil {
-			b.Fatal(err)
-		}
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for left.Add(-1) >= 0 {
+				var reply BenchArgs
+				if err := c.Call(context.Background(), "Bench.Echo", req, &reply); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
 	}
+	running.Wait()
 }
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -218,52 +218,18 @@
 	return err
 }
 
+// waitForWrite waits until the frame that is being written, if any, has been written.
+func (f *framer) waitForWrite() {
+	f.writeMu.Lock()
+	defer f.writeMu.Unlock()
+}
+
 func (f *framer) close() error {
 	var err error
 	f.closeOnce.Do(func() { err = f.conn.Close() })
 	return err
 }
 
-type serverCodec struct {
-	*framer
-	onBadFrame func(error)
-}
-
-func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	var h requestHeader
-	if err := c.readHeader(&h); err != nil {
-		if errors.Is(err, ErrBadFrame) && c.onBadFrame != nil {
-			c.onBadFrame(err)
-		}
-		return err
-	}
-	r.ServiceMethod = h.Method
-	r.Seq = h.Seq
-	return nil
-}
-
-func (c *serverCodec) ReadRequestBody(v any) error {
-	err := c.readBody(v)
-	if err != nil && c.onBadFrame != nil {
-		c.onBadFrame(err)
-	}
-	return err
-}
-
-// WriteResponse sends a response. It replaces a response that is too large by an
-// error, so that the caller does not wait forever.
-func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	h := responseHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}
-	err := c.writeFrame(h, body, nil)
-	if errors.Is(err, ErrBadFrame) {
-		h.Error = err.Error()
-		return c.writeFrame(h, struct{}{}, nil)
-	}
-	return err
-}
-
-func (c *serverCodec) Close() error { return c.close() }
-
 type clientCodec struct {
 	*framer
 	// onDisconnect is called when the connection ends; it may be nil.
