platform: the operator's sizes are for the caller port

Cause: the gate of the clients' ports applied max_header_bytes and max_body_bytes to the ports for readiness and metrics, too. A small max_header_bytes then refused the readiness checks with 431, and the balancer took all instances out of service.

Change: ports other than the caller port keep their fixed sizes.

Run: TestOperatorLimits, which now asks for readiness under max_header_bytes 20, failed before the change and passes with it, also with -race.

--- a/internal/ingress/http.go
+++ b/internal/ingress/http.go
@@ -15,6 +15,9 @@
 	// Refuse writes the answer to a request that is refused with a status before it is handed
 	// over; nil writes the status only.
 	Refuse func(ctx *fasthttp.RequestCtx, status int)
+	// FixedSizes is true for a port that callers don't use. The operator's sizes are not in force
+	// there, since sizes that refuse callers must not make a readiness check fail.
+	FixedSizes bool
 }
 
 // httpPort reads the bodies of an HTTP port's requests.
@@ -81,12 +84,19 @@
 
 // bodyLimit returns the largest body that is allowed now.
 func (p *httpPort) bodyLimit() int {
-	if limit := p.gate.limits.Load().MaxBodyBytes; limit > 0 {
+	if limit := p.gate.limits.Load().MaxBodyBytes; limit > 0 && !p.FixedSizes {
 		return min(limit, p.bodyBytes)
 	}
 	return p.bodyBytes
 }
 
+// headerTooLarge reports whether the header of a request is larger than the operator allows now.
+// The server refuses one above the limit of the port.
+func (p *httpPort) headerTooLarge(ctx *fasthttp.RequestCtx) bool {
+	limit := p.gate.limits.Load().MaxHeaderBytes
+	return limit > 0 && !p.FixedSizes && headerBytes(ctx) > limit
+}
+
 func (p *httpPort) handle(ctx *fasthttp.RequestCtx) {
 	conn, ok := ctx.Conn().(*Conn)
 	if !ok {
@@ -95,7 +105,7 @@
 		return
 	}
 	defer conn.Answer()
-	if limit := p.gate.limits.Load().MaxHeaderBytes; limit > 0 && headerBytes(ctx) > limit {
+	if p.headerTooLarge(ctx) {
 		p.refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, headerTooLarge)
 		return
 	}
