ingress: a client that reads no answer is logged as such

Cause: most connections with an unread answer are closed for the time since their handler ended, which E7005 logged as no_progress, and says that nothing of such a request has run.

Change: these connections have the reason unread_answer. E7005 says that the last request of a connection that is closed for others may have been answered.

Run: TestReasonOfUnreadAnswer failed with no_progress before the change and passes with it; internal/ingress, internal/decision/ingress and internal/event pass with -race.

--- a/internal/decision/ingress/ingress.go
+++ b/internal/decision/ingress/ingress.go
@@ -215,9 +215,19 @@
 
 // Overdue removes and returns the connections whose time has passed.
 func (m *Machine) Overdue(now time.Duration) []ID {
+	return m.removeOverdue(now, func(*client) bool { return true })
+}
+
+// OverdueAnswers removes and returns those of the connections whose time has passed that have not
+// read an answer. Their requests may have been handled.
+func (m *Machine) OverdueAnswers(now time.Duration) []ID {
+	return m.removeOverdue(now, func(c *client) bool { return c.phase == answering })
+}
+
+func (m *Machine) removeOverdue(now time.Duration, included func(*client) bool) []ID {
 	var overdue []ID
 	for id, c := range m.clients {
-		if c.deadline > 0 && now >= c.deadline {
+		if c.deadline > 0 && now >= c.deadline && included(c) {
 			overdue = append(overdue, id)
 		}
 	}
--- a/internal/ingress/clock_test.go
+++ b/internal/ingress/clock_test.go
@@ -6,11 +6,13 @@
 	"testing/synctest"
 	"time"
 
+	tally "github.com/uber-go/tally/v4"
+
 	"github.com/cardamomturn/cardamomturn/internal/queues"
 )
 
 // beginRequest opens a connection of a gate on which the first byte of a request has arrived.
-func beginRequest(t *testing.T, g *Gate) {
+func beginRequest(t *testing.T, g *Gate) *Conn {
 	t.Helper()
 	client, server := net.Pipe()
 	t.Cleanup(func() { client.Close() })
@@ -19,6 +21,7 @@
 	if _, err := c.Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
+	return c
 }
 
 func isOpen(g *Gate) bool {
@@ -62,3 +65,31 @@
 		}
 	})
 }
+
+// Guards against a client that did not read its answer and is logged as one whose request has not
+// run.
+func TestReasonOfUnreadAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		g := New("test", testBounds, scope)
+		defer g.Close()
+		c := beginRequest(t, g)
+		if !c.Start() {
+			t.Fatal("not open")
+		}
+		c.Answer()
+		time.Sleep(2 * writeTime)
+		if isOpen(g) {
+			t.Error("still open")
+		}
+		counters := scope.Snapshot().Counters()
+		if len(counters) != 1 {
+			t.Errorf("%d counters, want 1", len(counters))
+		}
+		for name, counter := range counters {
+			if counter.Tags()["reason"] != string(unreadAnswer) {
+				t.Errorf("counter %s, want the reason %s", name, unreadAnswer)
+			}
+		}
+	})
+}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -222,8 +222,8 @@
 	g.sweptAt = g.sweptAt.Add(elapsed)
 	now := time.Duration(g.clock.Add(int64(min(elapsed, maxClockStep))))
 	g.mu.Lock()
+	unread := g.remove(g.machine.OverdueAnswers(now))
 	slow := g.remove(g.machine.Overdue(now))
-	var unread []*Conn
 	for id, c := range g.conns {
 		if since := c.writingSince.Load(); since > 0 && now-time.Duration(since) > atLeast(writeTime) {
 			g.machine.Close(id)
