rpcnet: a malformed frame gives back its bytes at once

Cause: after a frame that it cannot read, net/rpc waits for the handlers of the connection before it closes the codec. Until then the frame, up to 4 MiB, held its part of the budget and its memory, and the gate did not close the connection, since its request counted as handled.

Change: the server's codec ends the frame when it reports the error.

Run: TestMalformedFrameIsGivenBack failed with 16384 bytes held before the change and passes with it; internal/rpcnet and internal/ingress pass with -race.

--- a/internal/rpcnet/server_codec.go
+++ b/internal/rpcnet/server_codec.go
@@ -26,6 +26,8 @@
 	}
 	var h requestHeader
 	if err := c.readHeader(&h); err != nil {
+		// net/rpc closes the connection when all its handlers have ended.
+		c.endFrame()
 		if errors.Is(err, ErrBadFrame) && c.onBadFrame != nil {
 			c.onBadFrame(err)
 		}
--- a/internal/rpcnet/shape_test.go
+++ b/internal/rpcnet/shape_test.go
@@ -55,6 +55,28 @@
 	}
 }
 
+// countingIntake counts the bytes that the current frame holds.
+type countingIntake struct{ held int }
+
+func (i *countingIntake) Take(total int) bool { i.held = total; return true }
+func (i *countingIntake) Start() bool         { return true }
+func (i *countingIntake) End()                { i.held = 0 }
+
+// Guards against a malformed frame that holds its bytes until the handlers of its connection have
+// ended.
+func TestMalformedFrameIsGivenBack(t *testing.T) {
+	data := append([]byte("\x00\x00\x40\x00"), bytes.Repeat([]byte{0xc1}, 16<<10)...)
+	var intake countingIntake
+	codec := &serverCodec{framer: newFramer(inputConn{bytes.NewReader(data)})}
+	codec.intake = &intake
+	if err := codec.ReadRequestHeader(&rpc.Request{}); !errors.Is(err, ErrBadFrame) {
+		t.Error(err)
+	}
+	if intake.held != 0 {
+		t.Errorf("%d bytes held", intake.held)
+	}
+}
+
 // Guards against valid values that are refused.
 func TestShapeOfValidValues(t *testing.T) {
 	long := func(n int) string { return string(make([]byte, n)) }
