placement: contact checks handle silent sidecars in a fixed order

Sidecars that fell silent in the same interval were handled in the order of a map, so that a rack that is lost in the simulation gave another result in each run. They are now collected and sorted by name. The check of one that is in contact costs the same as before; only silent ones are sorted. Nothing more per start, worker or message.

--- a/internal/decision/placement/contact.go
+++ b/internal/decision/placement/contact.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
@@ -69,7 +71,8 @@
 			m.abandon(now, m.unanswered[0], work.ReasonOutOfContact)
 		}
 	}
-	for id, w := range m.workers {
+	for _, id := range m.silentSidecars(now, paused) {
+		w := m.workers[id]
 		if !w.unreachable && (paused || m.outOfContact(now, w)) {
 			m.markUnreachable(now, w)
 		}
@@ -82,6 +85,21 @@
 	}
 }
 
+// silentSidecars returns the sidecars that are out of contact, or all after a pause, in the order
+// of their names, so that a simulation gives the same result in each run.
+func (m *Machine) silentSidecars(now time.Duration, paused bool) []ident.Process {
+	var list []ident.Process
+	for id, w := range m.workers {
+		if w.unreachable || paused || m.outOfContact(now, w) {
+			list = append(list, id)
+		}
+	}
+	slices.SortFunc(list, func(a, b ident.Process) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
+
 // minRetransmission is the least time after which TCP sends lost data again.
 const minRetransmission = 200 * time.Millisecond
 
