--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -48,6 +48,8 @@
 	// PreferredRack is the rack on which the tasks run fastest; empty if there is
 	// none.
 	PreferredRack string
+	// OneRack is true if the tasks run faster when all of them run on one rack.
+	OneRack bool
 	// MaxPerWorker is the largest number of tasks of the step on one worker; zero
 	// means no bound.
 	MaxPerWorker int
