placement: tasks wait for room on their rack while that pays

A task with a preferred rack took the place that was expected to end it first when it was planned, on another rack at a fixed cost of 1.5, and was not looked at again when its rack freed room a moment later. A rack that many jobs want filled the queues of its workers until nothing was gained there, and jobs were refused while other racks had room.

The factor is now Config.RemoteFactor; without one no task prefers a rack. Where other racks have room, package locality decides for the tasks of a plan together. A waiting task (hold) has no run, no place in a queue and no reservation. It is reviewed on each new load summary of its rack, every 20 ms and at the end of its time. It is placed near when room frees, in the order of rank and gain, and elsewhere when its time has passed, when its rack has no usable worker, or when a further wait does not pay. Work that can't gain on a full rack goes elsewhere at once. Admission counts the expected wait of the waiting plan. A job that has only waited is refused as not run when it is abandoned. WaitEnded tells what came of each wait.

Otherwise, per start, one more pass over at most 32 workers of the rack and, if it is full, the candidates elsewhere; per instance, at most 128 waiting tasks a rack; no messages.

--- a/internal/decision/placement/batch.go
+++ b/internal/decision/placement/batch.go
@@ -101,12 +101,17 @@
 func (m *Machine) executePlan(now time.Duration, j *job, p plan) {
 	for i, t := range p.tasks {
 		w := p.workers[i]
+		if p.holds != nil && p.holds[i] != nil {
+			m.beginHold(now, t, p.holds[i])
+			continue
+		}
 		if w == nil {
 			m.delayRetry(now, t)
 			m.addWaiting(j)
 			continue
 		}
 		m.startRun(now, t, w, p.waits[i] == 0 && t.noRoomEnds < maxNoRoomEnds)
+		m.noteStart(now, t, p.waits[i])
 	}
 }
 
--- /dev/null
+++ b/internal/decision/placement/hold.go
@@ -0,0 +1,200 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+const (
+	// maxHoldsPerRack bounds the tasks that wait for a rack, and with them the cost of a
+	// review. Further tasks are placed elsewhere.
+	maxHoldsPerRack = 128
+	// holdReviewInterval is the time between two reviews of all waiting tasks, for racks
+	// that are lost without a new load summary.
+	holdReviewInterval = contactCheckInterval
+)
+
+// rackKey identifies the workers of a service on a rack.
+type rackKey struct{ service, rack string }
+
+// rackOf returns the preferred rack of a task.
+func rackOf(t *task) rackKey {
+	return rackKey{t.job.spec.Service, t.job.spec.Steps[t.step].PreferredRack}
+}
+
+// hold is the wait of a task for room on its rack. A waiting task has no run and holds no
+// capacity.
+type hold struct {
+	task *task
+	// active is true while the task waits, and reported once WaitEnded has been emitted.
+	active, reported bool
+	// since is the begin of the wait, until its latest end, and endedAt its end.
+	since, until, endedAt time.Duration
+	// awayEnd is the expected end of a run away at the begin of the wait, and nearEnd that
+	// of a run near.
+	awayEnd, nearEnd time.Duration
+	priority         float64 // locality.Decision.Priority
+}
+
+// WaitOutcome is the way in which a wait for a rack ended.
+type WaitOutcome string
+
+// Outcomes of a wait.
+const (
+	// WaitPaid and WaitNotPaid mean that the task ran on its rack, and ended earlier, or
+	// not, than expected away when the wait began.
+	WaitPaid    WaitOutcome = "paid"
+	WaitNotPaid WaitOutcome = "not paid"
+	// WaitMoved means that the task was placed elsewhere.
+	WaitMoved WaitOutcome = "moved on"
+	// WaitDropped means that the job was answered first.
+	WaitDropped WaitOutcome = "job ended"
+)
+
+// WaitEnded tells the caller of the Machine that a wait of a task for room on its rack has
+// ended and what came of it.
+type WaitEnded struct {
+	Task        work.TaskID
+	Queue, Rack string
+	Waited      time.Duration
+	// Gain is how much earlier the task ended than expected away when the wait began. It
+	// is zero unless the task ran on its rack.
+	Gain    time.Duration
+	Outcome WaitOutcome
+}
+
+func (WaitEnded) action() {}
+
+func newHold(now time.Duration, t *task, question *locality.Task, d locality.Decision) *hold {
+	if t.hold != nil && !t.hold.reported { // its run near found no room
+		again := *t.hold
+		again.until, again.priority = min(again.until, now+d.Until), d.Priority
+		return &again
+	}
+	near, away := question.Near, question.Away
+	return &hold{task: t, since: now, until: now + d.Until, awayEnd: now + away.Wait + away.RunTime, nearEnd: now + near.Wait + near.RunTime, priority: d.Priority}
+}
+
+// waitsForRack reports whether a task waits for room on its rack.
+func (t *task) waitsForRack() bool { return t.hold != nil && t.hold.active }
+
+// before orders the waiting tasks of a rack: by rank, then the largest gain, then the
+// earliest.
+func (h *hold) before(o *hold) int {
+	return cmp.Or(cmp.Compare(h.task.job.spec.Rank, o.task.job.spec.Rank), cmp.Compare(o.priority, h.priority), cmp.Compare(h.since, o.since),
+		cmp.Compare(h.task.job.spec.ID, o.task.job.spec.ID), cmp.Compare(h.task.step, o.task.step), cmp.Compare(h.task.index, o.task.index))
+}
+
+// hasRoomForHold reports whether another task may wait for the rack of a task.
+func (m *Machine) hasRoomForHold(t *task) bool { return len(m.holds[rackOf(t)]) < maxHoldsPerRack }
+
+// beginHold makes a task wait for room on its rack.
+func (m *Machine) beginHold(now time.Duration, t *task, h *hold) {
+	if len(m.holds) == 0 {
+		m.fullReviewAt = now + holdReviewInterval
+		m.nextHoldReview = m.fullReviewAt
+	}
+	t.hold, h.active = h, true
+	t.expectedEnd = h.nearEnd
+	key := rackOf(t)
+	list := m.holds[key]
+	i, _ := slices.BinarySearchFunc(list, h, (*hold).before)
+	m.holds[key] = slices.Insert(list, i, h)
+	t.job.holds++
+	m.nextHoldReview = min(m.nextHoldReview, h.until)
+}
+
+// endHold ends the wait of a task.
+func (m *Machine) endHold(now time.Duration, h *hold) {
+	h.active, h.endedAt = false, now
+	h.task.job.holds--
+	key := rackOf(h.task)
+	list := m.holds[key]
+	list = slices.Delete(list, slices.Index(list, h), slices.Index(list, h)+1)
+	if m.holds[key] = list; len(list) == 0 {
+		delete(m.holds, key)
+	}
+}
+
+// reportWait emits what came of a wait.
+func (m *Machine) reportWait(h *hold, gain time.Duration, outcome WaitOutcome) {
+	h.reported = true
+	key := rackOf(h.task)
+	m.actions = append(m.actions, WaitEnded{Task: h.task.id(), Queue: h.task.job.spec.Queue, Rack: key.rack, Waited: h.endedAt - h.since, Gain: gain, Outcome: outcome})
+}
+
+// recordWaitResult records the end of the run for which a task has waited.
+func (m *Machine) recordWaitResult(now time.Duration, t *task, outcome work.Outcome) {
+	h := t.hold
+	switch {
+	case h == nil || h.reported || outcome == work.NoRoom || outcome == work.NotRun:
+	case outcome == work.Done && now < h.awayEnd:
+		m.reportWait(h, h.awayEnd-now, WaitPaid)
+	default:
+		m.reportWait(h, min(h.awayEnd-now, 0), WaitNotPaid)
+	}
+}
+
+// dropHolds ends the waits of an answered job.
+func (m *Machine) dropHolds(now time.Duration, j *job) {
+	if m.cfg.RemoteFactor <= 1 {
+		return
+	}
+	for i := range j.tasks {
+		h := j.tasks[i].hold
+		if h == nil || h.reported {
+			continue
+		}
+		if h.active {
+			m.endHold(now, h)
+		}
+		m.reportWait(h, 0, WaitDropped)
+	}
+}
+
+// maxDuration is the largest time.
+const maxDuration = time.Duration(1<<63 - 1)
+
+// noteStart records the expected end of a run that has been started with an expected wait.
+func (m *Machine) noteStart(now time.Duration, t *task, wait time.Duration) {
+	if m.cfg.RemoteFactor <= 1 {
+		return
+	}
+	step := &t.job.spec.Steps[t.step]
+	t.expectedEnd = now + wait + m.estimateRunTime(t.worker, step, t.job.estimate(t.step))
+	if step.PreferredRack != "" && t.worker.info.Rack != step.PreferredRack {
+		t.job.stats.AwayRuns++
+		if t.hold != nil && !t.hold.reported {
+			m.reportWait(t.hold, 0, WaitMoved)
+		}
+	}
+}
+
+// savedLoads holds the load summaries of workers.
+type savedLoads struct {
+	workers []*worker
+	loads   []wire.Load
+}
+
+// saveLoads saves the load summaries of a service's workers.
+func (m *Machine) saveLoads(service string) savedLoads {
+	var s savedLoads
+	if p := m.pools[service]; p != nil {
+		s.workers = p.workers
+	}
+	for _, w := range s.workers {
+		s.loads = append(s.loads, w.load)
+	}
+	return s
+}
+
+func (s savedLoads) restore() {
+	for i, w := range s.workers {
+		w.load = s.loads[i]
+	}
+}
--- /dev/null
+++ b/internal/decision/placement/hold_model_test.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// holdModel plays jobs that prefer racks, loads, ends of runs and losses of workers.
+type holdModel struct {
+	*rackHarness
+	jobs int
+	runs []sentRun
+}
+
+type sentRun struct {
+	sidecar ident.Process
+	run     wire.RunRequest
+}
+
+// advance lets time pass and hears the workers, of the lost ones only some. Mostly there is room on
+// rack c only.
+func (m *holdModel) advance(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * ms
+	for i := range m.racks {
+		w := m.m.workers[process(i)]
+		if w != nil && w.unreachable && rapid.IntRange(0, 3).Draw(t, "silent") > 0 {
+			continue
+		}
+		free := rapid.SampledFrom([]int64{0, 0, 0, 0, 0, 3000}).Draw(t, "free")
+		if m.racks[i] == "c" {
+			free = 20000
+		}
+		m.beat(i, free)
+	}
+}
+
+func (m *holdModel) submitJob(t *rapid.T) {
+	m.jobs++
+	j := wanting(fmt.Sprint("j", m.jobs), rapid.IntRange(1, 4).Draw(t, "tasks"))
+	j.Rank = rapid.IntRange(0, 2).Draw(t, "rank")
+	j.Steps[0].PreferredRack = rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "rack")
+	j.Timeout = time.Duration(rapid.IntRange(300, 3000).Draw(t, "timeout")) * ms
+	m.submit(j)
+	m.tick()
+}
+
+func (m *holdModel) endOne(t *rapid.T) {
+	for p, runs := range m.takeRuns() {
+		for _, r := range runs {
+			m.runs = append(m.runs, sentRun{p, r})
+		}
+	}
+	if len(m.runs) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.runs)-1).Draw(t, "run")
+	r := m.runs[i]
+	m.runs = append(m.runs[:i], m.runs[i+1:]...)
+	outcome := rapid.SampledFrom([]work.Outcome{work.Done, work.Done, work.NoRoom, work.NotRun, work.RunFailed}).Draw(t, "outcome")
+	if m.m.workers[r.sidecar] != nil {
+		m.endRun(r.sidecar, r.run, outcome)
+		m.tick()
+	}
+}
+
+func (m *holdModel) lose(t *rapid.T) {
+	m.m.SidecarLost(m.now, process(rapid.IntRange(0, len(m.racks)-1).Draw(t, "worker")))
+	m.tick()
+}
+
+func (m *holdModel) answerOne(t *rapid.T) {
+	id := fmt.Sprint("j", rapid.IntRange(1, m.jobs+1).Draw(t, "job"))
+	if rapid.Bool().Draw(t, "cancel") {
+		m.m.Cancel(m.now, id)
+	} else {
+		m.m.CallerLeft(m.now, id)
+	}
+	m.tick()
+}
+
+// check checks that a waiting task has no run, waits for a rack on which it can run, and not
+// beyond its time or an answer.
+func (m *holdModel) check(t *rapid.T) {
+	held := map[*job]int{}
+	for key, list := range m.m.holds {
+		if len(list) == 0 {
+			t.Fatalf("an empty list of holds of %v", key)
+		}
+		for i, h := range list {
+			j := h.task.job
+			held[j]++
+			if h.task.worker != nil || h.task.done || j.answered || !h.active || h.task.hold != h {
+				t.Fatalf("hold of %v: %+v", h.task.id(), h)
+			}
+			if h.until <= m.now || h.until-h.since > 200*ms || h.awayEnd > j.deadline {
+				t.Fatalf("wait of %v until %v at %v", h.task.id(), h.until, m.now)
+			}
+			if i > 0 && list[i-1].before(h) >= 0 {
+				t.Fatalf("holds of %v out of order", key)
+			}
+		}
+		if next := m.m.nextHoldReview; next <= m.now || next > m.now+holdReviewInterval {
+			t.Fatalf("next review at %v at %v", next, m.now)
+		}
+	}
+	for _, j := range m.m.jobs {
+		if j.holds != held[j] {
+			t.Fatalf("job %s counts %d holds of %d", j.spec.ID, j.holds, held[j])
+		}
+	}
+}
+
+// TestHoldModel guards against waiting tasks that are forgotten, wait for ever or twice, or have
+// a run, and against a wait whose end is not told.
+func TestHoldModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &holdModel{rackHarness: newRackHarness(t, 1.5, "a", "a", "b", "c")}
+		rt.Repeat(map[string]func(*rapid.T){
+			"advance": m.advance, "submit": m.submitJob, "end": m.endOne, "lose": m.lose, "answer": m.answerOne, "": m.check,
+		})
+		begun := 0
+		for _, j := range m.m.jobs {
+			begun += j.holds
+		}
+		m.m.AbandonJobs(m.now)
+		m.take()
+		if len(m.m.holds) > 0 {
+			rt.Fatalf("%d racks have holds after all jobs were answered", len(m.m.holds))
+		}
+		dropped := 0
+		for _, w := range m.ended {
+			if w.Outcome == WaitDropped {
+				dropped++
+			}
+			if w.Waited < 0 || w.Waited > 200*ms {
+				rt.Fatalf("%+v", w)
+			}
+		}
+		if dropped < begun {
+			rt.Fatalf("%d waits were dropped with their jobs, and %d told", begun, dropped)
+		}
+	})
+}
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -33,6 +33,10 @@
 	avoidedWorkers []*worker
 	// silentWorkers are the workers of earlier runs that have not been heard since.
 	silentWorkers []silentWorker
+	// hold is the newest wait for room on the preferred rack; nil if there was none.
+	hold *hold
+	// expectedEnd is the expected end of the newest run, or of the one that is waited for.
+	expectedEnd time.Duration
 }
 
 func (t *task) id() work.TaskID {
@@ -68,6 +72,10 @@
 	unfinished []int // number of tasks that are not done, by step
 	doneTasks  int
 	openRuns   int // number of runs that may be queued or running
+	// holds is the number of tasks that wait for room on their racks.
+	holds int
+	// tails holds the result of tail by step, once it was needed.
+	tails      []time.Duration
 	mayHaveRun bool
 	answered   bool
 	waiting    bool // whether the job is in Machine.waiting
@@ -136,7 +144,7 @@
 	var list []*task
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if !t.done && t.worker == nil && j.mayStart(t.step) {
+		if !t.done && t.worker == nil && !t.waitsForRack() && j.mayStart(t.step) {
 			list = append(list, t)
 		}
 	}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -19,6 +19,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/estimate"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/indexedheap"
+	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
@@ -59,6 +60,12 @@
 	// MaxCrashes is the number of workers that may crash under a task before its job fails,
 	// also if other jobs may have caused the crashes.
 	MaxCrashes int
+	// RemoteFactor is the factor by which the run time of a task is longer on a rack other
+	// than its preferred one. At most 1 means that no task prefers a rack.
+	RemoteFactor float64
+	// DecideWaits decides which tasks wait for room on their racks; nil selects
+	// locality.Decide. A test replaces it to compare other rules.
+	DecideWaits func(*locality.Job) []locality.Decision
 }
 
 // Action is a request to the caller of the Machine, which does the I/O.
@@ -97,7 +104,9 @@
 	// CrashedRuns and PossiblyCrashedRuns are the numbers of runs that ended with a crash of
 	// their worker process, and of those that may have.
 	CrashedRuns, PossiblyCrashedRuns int
-	Elapsed                          time.Duration
+	// AwayRuns is the number of runs on another rack than the preferred one.
+	AwayRuns int
+	Elapsed  time.Duration
 	// LastOutcome, LastReason and LastWorker describe the newest end of a run whose
 	// outcome is neither work.Done nor work.NoRoom.
 	LastOutcome work.Outcome
@@ -129,11 +138,19 @@
 	learned []crashes.Record
 	// unanswered holds the jobs without an answer, the earliest deadline first.
 	unanswered indexedheap.Heap[*job]
-	waiting    []*job    // jobs with tasks to place later
-	unsent     []*worker // workers with a batch for Actions to return
-	sequence   uint64    // sequence number of the newest batch to any sidecar
-	actions    []Action
-	draining   bool
+	waiting    []*job // jobs with tasks to place later
+	// holds are the tasks that wait for room on their racks, in the order in which they get
+	// it, and changedRacks the racks with new load summaries since the last review.
+	holds        map[rackKey][]*hold
+	changedRacks map[rackKey]bool
+	// nextHoldReview is the time of the next review of all holds, zero if there are none.
+	nextHoldReview time.Duration
+	// fullReviewAt is the latest time of the next review of all holds.
+	fullReviewAt time.Duration
+	unsent       []*worker // workers with a batch for Actions to return
+	sequence     uint64    // sequence number of the newest batch to any sidecar
+	actions      []Action
+	draining     bool
 	// lastCall is the time of the last call of checkContacts, and nextContactCheck that
 	// of the next check of the times without a message.
 	lastCall, nextContactCheck time.Duration
@@ -162,7 +179,10 @@
 	if cfg.MaxCrashes == 0 {
 		cfg.MaxCrashes = DefaultMaxCrashes
 	}
-	return &Machine{cfg: cfg, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	if cfg.DecideWaits == nil {
+		cfg.DecideWaits = locality.Decide
+	}
+	return &Machine{cfg: cfg, holds: map[rackKey][]*hold{}, changedRacks: map[rackKey]bool{}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
 }
 
 // pool holds the workers of one service.
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -26,9 +26,6 @@
 	// maxRandomCost bounds a random cost which makes entry instances with the same
 	// load summaries choose different workers.
 	maxRandomCost = 3 * time.Millisecond
-	// otherRackFactor is the factor by which the run time of a task is longer on a
-	// rack other than its preferred one.
-	otherRackFactor = 1.5
 	// maxWaitEstimate is the upper bound of an estimated wait. It is also the
 	// estimate for a worker that frees almost no capacity.
 	maxWaitEstimate = 10 * time.Second
@@ -39,6 +36,10 @@
 	tasks   []*task
 	workers []*worker // by task; nil if no worker can take the task now
 	waits   []time.Duration
+	// holds has an element for each task that waits for room on its rack; nil if none does.
+	holds []*hold
+	// margin is the factor by which admission multiplies waits.
+	margin float64
 	// maxWait is the longest expected wait of a task for free capacity. minTime is
 	// the time until the last task ends if the estimated run times are too long by
 	// their usual error.
@@ -50,11 +51,11 @@
 	admissible bool
 }
 
-// planTasks chooses a worker for each task from a random sample of the
+// planNow chooses a worker for each task from a random sample of the
 // candidates, so that entry instances with the same load summaries do not all
 // choose the same workers. If the plan on the sample is not admissible or a task
 // would have to wait, it chooses among all candidates.
-func (m *Machine) planTasks(now time.Duration, j *job, tasks []*task) plan {
+func (m *Machine) planNow(now time.Duration, j *job, tasks []*task) plan {
 	all := m.candidates(j.spec.Service)
 	sampleSize := max(minSampledCandidates, sampledCandidatesPerTask*len(tasks))
 	if len(all) > sampleSize {
@@ -70,7 +71,7 @@
 // the capacity that the earlier tasks of the plan use.
 func (m *Machine) planAmong(now time.Duration, j *job, tasks []*task, candidates []*worker) plan {
 	margin := waitMargin(j.spec.Rank, len(candidates))
-	p := plan{tasks: tasks, workers: make([]*worker, len(tasks)), waits: make([]time.Duration, len(tasks)), admissible: true}
+	p := plan{tasks: tasks, workers: make([]*worker, len(tasks)), waits: make([]time.Duration, len(tasks)), margin: margin, admissible: true}
 	savedLoads := make([]wire.Load, len(candidates))
 	for i, w := range candidates {
 		savedLoads[i] = w.load
@@ -160,7 +161,7 @@
 			}
 			continue // it would return the run again
 		}
-		runTime := w.estimateRunTime(step, j.estimate(t.step))
+		runTime := m.estimateRunTime(w, step, j.estimate(t.step))
 		cost := workerWait + runTime + w.utilizationCost() + time.Duration(m.random.Int63n(int64(maxRandomCost)))
 		if w.info.Sidecar.Zone != m.cfg.Zone {
 			cost += otherZoneCost
@@ -214,15 +215,15 @@
 
 // estimateRunTime returns the expected run time of a task on the worker. The
 // argument estimate is the expected run time on an average worker.
-func (w *worker) estimateRunTime(step *work.Step, estimate time.Duration) time.Duration {
+func (m *Machine) estimateRunTime(w *worker, step *work.Step, estimate time.Duration) time.Duration {
 	runTime := float64(estimate)
 	// The slowness of a worker on probation is ignored. Otherwise the worker would
 	// not get the run that shows whether it has recovered.
 	if w.load.Slowness > 0 && !w.load.Probe {
 		runTime *= w.load.Slowness
 	}
-	if step.PreferredRack != "" && step.PreferredRack != w.info.Rack {
-		runTime *= otherRackFactor
+	if m.cfg.RemoteFactor > 1 && step.PreferredRack != "" && step.PreferredRack != w.info.Rack {
+		runTime *= m.cfg.RemoteFactor
 	}
 	return time.Duration(runTime)
 }
--- /dev/null
+++ b/internal/decision/placement/review.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// noteRackLoad makes the next Tick review the tasks that wait for the rack of a worker.
+func (m *Machine) noteRackLoad(w *worker) {
+	if len(m.holds) == 0 {
+		return
+	}
+	if key := (rackKey{w.info.Service, w.info.Rack}); len(m.holds[key]) > 0 {
+		m.changedRacks[key] = true
+	}
+}
+
+// reviewHolds decides anew for the waiting tasks of the racks with new load summaries, and
+// for all when a wait ends or the review of all is due. It returns the time of the next
+// call, zero if no task waits.
+func (m *Machine) reviewHolds(now time.Duration) time.Duration {
+	if len(m.holds) == 0 {
+		m.nextHoldReview = 0
+		return 0
+	}
+	keys := slices.Collect(maps.Keys(m.changedRacks))
+	if now >= m.nextHoldReview {
+		m.fullReviewAt = now + holdReviewInterval
+		keys = slices.Collect(maps.Keys(m.holds))
+	}
+	slices.SortFunc(keys, func(a, b rackKey) int { return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.rack, b.rack)) })
+	clear(m.changedRacks)
+	for _, key := range keys {
+		m.reviewRack(now, key)
+	}
+	m.nextHoldReview = m.fullReviewAt
+	for _, list := range m.holds {
+		for _, h := range list {
+			m.nextHoldReview = min(m.nextHoldReview, h.until)
+		}
+	}
+	if len(m.holds) == 0 {
+		m.nextHoldReview = 0
+	}
+	return m.nextHoldReview
+}
+
+// virtualRun is a waiting task that is counted in the queue of a worker during a review.
+type virtualRun struct {
+	worker   *worker
+	rank     int
+	milliCPU int64
+}
+
+// reviewRack places the waiting tasks of a rack for which there is room, in their order, and
+// moves those on for which a further wait does not pay.
+func (m *Machine) reviewRack(now time.Duration, key rackKey) {
+	near := m.nearWorkers(key.service, key.rack)
+	var queued []virtualRun
+	var moved []*task
+	for _, h := range slices.Clone(m.holds[key]) {
+		t, j := h.task, h.task.job
+		step := &j.spec.Steps[t.step]
+		w, wait := m.best(now, j, t, step, near, &plan{})
+		margined := time.Duration(0)
+		if w != nil {
+			margined = time.Duration(locality.Margin(len(near), now-w.loadReceived) * float64(wait))
+		}
+		switch {
+		case m.withheld(t): // settleTask places it again
+			m.endHold(now, h)
+			m.reportWait(h, 0, WaitMoved)
+		case w != nil && wait == 0 && !t.avoids(w):
+			m.endHold(now, h)
+			m.startRun(now, t, w, true)
+			m.noteStart(now, t, 0)
+		case w == nil || now+margined >= h.until:
+			m.endHold(now, h)
+			m.reportWait(h, 0, WaitMoved)
+			moved = append(moved, t)
+		default:
+			rank := min(j.spec.Rank, wire.NumRanks-1)
+			w.load.QueuedMilliCPU[rank] += step.Need.MilliCPU
+			queued = append(queued, virtualRun{w, rank, step.Need.MilliCPU})
+		}
+	}
+	for _, v := range queued {
+		v.worker.load.QueuedMilliCPU[v.rank] -= v.milliCPU
+	}
+	for _, t := range moved {
+		m.placeElsewhere(now, t)
+	}
+}
+
+// placeElsewhere places a task whose wait has ended on another rack if there is room, and
+// otherwise where it is expected to end first.
+func (m *Machine) placeElsewhere(now time.Duration, t *task) {
+	j := t.job
+	if j.answered || t.worker != nil {
+		return
+	}
+	step := &j.spec.Steps[t.step]
+	p := plan{tasks: []*task{t}, workers: make([]*worker, 1), waits: make([]time.Duration, 1)}
+	p.workers[0], p.waits[0] = m.best(now, j, t, step, m.awayWorkers(j.spec.Service, step.PreferredRack), &plan{})
+	if p.workers[0] == nil || p.waits[0] > 0 {
+		p = m.planNow(now, j, p.tasks)
+	}
+	if now+p.minTime > j.deadline {
+		m.abandon(now, j, work.ReasonDeadline)
+		return
+	}
+	m.executePlan(now, j, p)
+}
+
+// reserveForHolds adds the tasks that wait for a rack before a task to the queues of its
+// workers, in equal parts.
+func (m *Machine) reserveForHolds(j *job, t *task, near []*worker) {
+	if len(near) == 0 {
+		return
+	}
+	step := &j.spec.Steps[t.step]
+	room := float64(step.Count) * float64(step.Need.MilliCPU) / 1000 * j.estimate(t.step).Seconds()
+	priority := locality.Priority(time.Duration((m.cfg.RemoteFactor-1)*float64(j.estimate(t.step))), room)
+	candidate := &hold{task: t, since: maxDuration, priority: priority}
+	for _, h := range m.holds[rackOf(t)] {
+		if h.before(candidate) < 0 {
+			share := h.task.job.spec.Steps[h.task.step].Need.MilliCPU / int64(len(near))
+			for _, w := range near {
+				w.load.QueuedMilliCPU[min(h.task.job.spec.Rank, wire.NumRanks-1)] += share
+			}
+		}
+	}
+}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -17,18 +17,24 @@
 	}
 	m.checkContacts(now)
 	m.retryWaiting(now)
-	next := time.Duration(0)
+	next := m.reviewHolds(now)
 	if len(m.unanswered) > 0 {
-		next = m.unanswered[0].deadline
+		next = earlier(next, m.unanswered[0].deadline)
 	}
 	for _, j := range m.waiting {
-		if at := max(j.retryAt, now+settleDelay); next == 0 || at < next {
-			next = at
-		}
+		next = earlier(next, max(j.retryAt, now+settleDelay))
 	}
 	return next
 }
 
+// earlier returns the earlier of two times, of which a may be zero for none.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
 // noWorkerDelay is the expected minimum time until a task that no worker can take
 // now gets one.
 const noWorkerDelay = 50 * time.Millisecond
@@ -100,6 +106,7 @@
 		t.returns = 0
 	}
 	m.recordCrash(now, t, w, e)
+	m.recordWaitResult(now, t, e.Outcome)
 	if j.answered {
 		m.removeIfEnded(j)
 		return
--- a/internal/decision/placement/simulation/entry_test.go
+++ b/internal/decision/placement/simulation/entry_test.go
@@ -29,7 +29,7 @@
 
 func newEntry(sim *simulator, i int) *entry {
 	e := &entry{sim: sim, id: ident.Process{Instance: fmt.Sprint("entry-", i), Incarnation: 1}, links: map[ident.Process]*link{}}
-	e.m = placement.New(placement.Config{Zone: "z"}, rand.New(rand.NewSource(sim.workload.Seed+int64(i)+1)))
+	e.m = placement.New(placement.Config{Zone: "z", RemoteFactor: sim.workload.RemoteFactor, DecideWaits: sim.workload.DecideWaits}, rand.New(rand.NewSource(sim.workload.Seed+int64(i)+1)))
 	for _, w := range sim.workers {
 		e.links[w.id] = &link{}
 	}
@@ -55,6 +55,8 @@
 				e.send(l)
 			case placement.JobAnswer:
 				e.recordAnswer(a)
+			case placement.WaitEnded:
+				e.sim.recordWait(a)
 			}
 		}
 	}
@@ -71,7 +73,15 @@
 	l.inFlight = true
 	e.sim.results.Batches++
 	w := e.sim.worker(s.Sidecar)
+	if w.lost {
+		e.abandonBatch(l, s)
+		return
+	}
 	e.sim.afterNetworkDelay(func() {
+		if w.lost {
+			e.abandonBatch(l, s)
+			return
+		}
 		w.m.Submit(e.sim.now, e.id, s.Runs)
 		for _, r := range s.Stops {
 			if !w.m.Stop(e.sim.now, e.id, r) {
@@ -98,6 +108,12 @@
 	}
 	delete(e.sim.jobs, a.JobID)
 	j.result.Runs += a.Stats.Runs
+	j.result.AwayRuns += a.Stats.AwayRuns
+	if a.Answer.State == work.Completed {
+		j.result.responseTime += e.sim.now - j.submittedAt
+	} else {
+		j.result.responseTime += timeoutFactor * j.objective
+	}
 	elapsed := e.sim.now - j.submittedAt
 	switch {
 	case a.Answer.State == work.Refused:
--- a/internal/decision/placement/simulation/simulator_test.go
+++ b/internal/decision/placement/simulation/simulator_test.go
@@ -29,6 +29,7 @@
 	submittedAt time.Duration
 	objective   time.Duration
 	runTimes    []time.Duration // by task
+	rack        string          // preferred rack, empty for none
 }
 
 // Run simulates a workload and returns the results.
@@ -44,6 +45,9 @@
 	for _, w := range sim.workers {
 		w.open()
 	}
+	if workload.LostAt > 0 {
+		sim.schedule(workload.LostAt, sim.loseFirstRack)
+	}
 	for i := range workload.Classes {
 		class := &workload.Classes[i]
 		sim.results.Classes[class.Name] = &ClassResult{}
@@ -63,6 +67,8 @@
 		sim.results.All.offeredValue += r.offeredValue
 		sim.results.All.earnedValue += r.earnedValue
 		sim.results.All.Runs += r.Runs
+		sim.results.All.AwayRuns += r.AwayRuns
+		sim.results.All.responseTime += r.responseTime
 	}
 	return sim.results
 }
--- a/internal/decision/placement/simulation/worker_test.go
+++ b/internal/decision/placement/simulation/worker_test.go
@@ -23,6 +23,9 @@
 	unsentEnds       map[*entry][]wire.RunEnd
 	sending          map[*entry]bool
 	timer            timer
+	// rack is the name of the worker's rack, and lost is true once that has been lost.
+	rack string
+	lost bool
 }
 
 type activeRun struct{ start, end time.Duration }
@@ -31,6 +34,9 @@
 	w := &worker{sim: sim, id: ident.Process{Instance: fmt.Sprint("side-", i), Incarnation: 1}, capacity: sim.workload.MilliCPU, speed: 1,
 		m: occupancy.New(occupancy.Config{}), appliedSequences: map[ident.Process]uint64{}, running: map[work.RunID]*activeRun{},
 		unsentEnds: map[*entry][]wire.RunEnd{}, sending: map[*entry]bool{}}
+	if sim.workload.Racks > 0 {
+		w.rack = fmt.Sprint("rack-", i*sim.workload.Racks/sim.workload.Workers)
+	}
 	if i%3 == 2 {
 		w.speed = 1 / sim.workload.SlowFactor
 	}
@@ -55,10 +61,13 @@
 	w.m.SetWorker(0, occupancy.Worker{ID: w.id.Instance, Incarnation: 1, Capacity: work.Resources{MilliCPU: w.capacity, MemoryMB: 1 << 20}})
 	w.m.ApplyStatus(0, occupancy.WorkerStatus{})
 	w.m.SetWorkerAvailable(0, true)
-	info := wire.WorkerInfo{Sidecar: wire.Peer{Process: w.id, Zone: "z"}, Worker: w.id.Instance, Service: service}
+	info := wire.WorkerInfo{Sidecar: wire.Peer{Process: w.id, Zone: "z"}, Worker: w.id.Instance, Service: service, Rack: w.rack}
 	for _, e := range w.sim.entries {
 		var sendHeartbeat func()
 		sendHeartbeat = func() {
+			if w.lost {
+				return
+			}
 			load := w.loadSummary(e)
 			w.sim.afterNetworkDelay(func() {
 				e.m.Heartbeat(w.sim.now, info, 0, load, true)
@@ -71,6 +80,9 @@
 	const pollInterval = 40 * time.Millisecond
 	var poll func()
 	poll = func() {
+		if w.lost {
+			return
+		}
 		w.pollWorker()
 		w.sim.scheduleAfter(pollInterval, poll)
 	}
@@ -97,6 +109,9 @@
 
 // step carries out the actions of the sidecar's machine.
 func (w *worker) step() {
+	if w.lost {
+		return
+	}
 	const workerDelay = 500 * time.Microsecond
 	next := w.m.Tick(w.sim.now)
 	for actions := w.m.Actions(); len(actions) > 0; actions = w.m.Actions() {
@@ -127,6 +142,9 @@
 	runTime := w.sim.workload.NetworkDelay // for a job that has been answered already
 	if j := w.sim.jobs[id.Task.Job]; j != nil {
 		runTime = time.Duration(float64(j.runTimes[id.Task.Index]) / w.speed)
+		if j.rack != "" && j.rack != w.rack {
+			runTime = time.Duration(float64(runTime) * w.sim.workload.RemoteFactor)
+		}
 	}
 	a := &activeRun{w.sim.now, w.sim.now + runTime + 1}
 	w.running[id] = a
@@ -158,7 +176,7 @@
 }
 
 func (w *worker) sendEnds(e *entry) {
-	if w.sending[e] || len(w.unsentEnds[e]) == 0 {
+	if w.lost || w.sending[e] || len(w.unsentEnds[e]) == 0 {
 		return
 	}
 	w.sending[e] = true
--- a/internal/decision/placement/simulation/workload_test.go
+++ b/internal/decision/placement/simulation/workload_test.go
@@ -10,6 +10,8 @@
 	"math/rand"
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
+	"github.com/cardamomturn/cardamomturn/internal/decision/placement"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
@@ -26,6 +28,9 @@
 	// processor need in thousandths of a core.
 	MeanRunTime  time.Duration
 	MeanMilliCPU int64
+	// HotShare is the part of the jobs, 0 to 1, that prefer the first rack. The others prefer
+	// any rack, each with the same probability. It needs Workload.Racks.
+	HotShare float64
 }
 
 // Burst multiplies the job rate of a class by Factor between two times.
@@ -53,6 +58,14 @@
 	// Duration is the time in which jobs arrive.
 	Duration time.Duration
 	Seed     int64
+	// Racks is the number of racks of the same size; zero means that no job prefers one. A
+	// task takes RemoteFactor times as long on another rack than the preferred one.
+	Racks        int
+	RemoteFactor float64
+	// LostAt is the time at which the first rack is lost, zero for never.
+	LostAt time.Duration
+	// DecideWaits is that of the placement machines.
+	DecideWaits func(*locality.Job) []locality.Decision
 }
 
 // Parameters of the distributions and of the value of an answer. Each sigma is the
@@ -64,6 +77,7 @@
 	objective        = 60 * time.Millisecond
 	objectiveFactor  = 1.6
 	lateFactor       = 3
+	timeoutFactor    = 4
 	// lateValueFactor is the part of its value that a job earns if it is answered
 	// after its objective, but within lateFactor times the objective.
 	lateValueFactor = 0.2
@@ -73,9 +87,21 @@
 type ClassResult struct {
 	Submitted, InTime, Late, Refused, Failed int
 	// Runs is the number of run requests to sidecars.
-	Runs         int
+	Runs int
+	// AwayRuns is the number of them on another rack than the preferred one. Waits counts
+	// the waits for racks by outcome.
+	AwayRuns     int
+	Waits        map[placement.WaitOutcome]int
 	offeredValue float64
 	earnedValue  float64
+	// responseTime is the sum over the jobs of the time until the answer. A job that was not
+	// completed counts with its timeout.
+	responseTime time.Duration
+}
+
+// MeanResponse returns the mean response time.
+func (r *ClassResult) MeanResponse() time.Duration {
+	return r.responseTime / time.Duration(max(r.Submitted, 1))
 }
 
 // ValueShare returns the earned value divided by the value of all submitted jobs,
@@ -147,13 +173,14 @@
 	j.value = min(baseValue+(1-baseValue)*size, 4) * src.Value
 	r.offeredValue += j.value
 	sim.jobs[j.id] = j
+	sim.chooseRack(src, j)
 	declaredRunTime := time.Duration(meanRunTime * math.Exp(declarationSigma*src.random.NormFloat64()) * float64(time.Second))
 	// The square makes the shares of entry instances uneven.
 	u := src.random.Float64()
 	e := sim.entries[int((0.5*u+0.5*u*u)*float64(len(sim.entries)))]
 	e.submit(j, &work.Job{
 		ID: j.id, Queue: src.Name, Service: service, Rank: src.Rank, MaxFailedRuns: 3, Objective: objective, ObjectiveFactor: objectiveFactor,
-		Timeout: 4 * j.objective,
-		Steps:   []work.Step{{Count: tasks, Need: work.Resources{MilliCPU: need, MemoryMB: 64}, Estimate: declaredRunTime}},
+		Timeout: timeoutFactor * j.objective,
+		Steps:   []work.Step{{Count: tasks, Need: work.Resources{MilliCPU: need, MemoryMB: 64}, Estimate: declaredRunTime, PreferredRack: j.rack}},
 	})
 }
--- a/internal/decision/placement/worker.go
+++ b/internal/decision/placement/worker.go
@@ -173,6 +173,7 @@
 		return
 	}
 	w.load, w.loadReceived = l, now
+	m.noteRackLoad(w)
 	w.noteCapacity()
 	kept := w.reservations[:0]
 	for _, r := range w.reservations {
