placement: plan the tasks of a step on one rack if they end sooner there

Tasks with work.Step.OneRack take RemoteFactor times as long if they run on more than one rack, and were planned without regard to that.

--- a/internal/decision/placement/locality.go
+++ b/internal/decision/placement/locality.go
@@ -11,12 +11,14 @@
 // maxNearWorkers is the largest number of workers on the rack of a task that are compared.
 const maxNearWorkers = 32
 
-// planTasks chooses for each task a worker, or to let it wait for room on its rack.
+// planTasks chooses for each task a worker, or to let it wait for room on its rack. Tasks of
+// a step that run faster on one rack are planned together if that ends them sooner.
 func (m *Machine) planTasks(now time.Duration, j *job, tasks []*task) plan {
 	p := m.planNow(now, j, tasks)
 	if m.cfg.RemoteFactor <= 1 {
 		return p
 	}
+	m.planGroups(now, j, &p)
 	if slices.ContainsFunc(tasks, m.mayWait) {
 		m.planWaits(now, j, &p)
 	}
@@ -27,7 +29,7 @@
 // runs were rejected several times waits in the queue of a worker.
 func (m *Machine) mayWait(t *task) bool {
 	step := &t.job.spec.Steps[t.step]
-	return step.PreferredRack != "" && t.noRoomEnds < maxNoRoomEnds
+	return step.PreferredRack != "" && !step.OneRack && t.noRoomEnds < maxNoRoomEnds
 }
 
 // choice holds the places that a task of a plan chooses between.
