settings: remoteFactor of an entry instance

The upper bound keeps products with run times within their type. check-config names field, value and range. Without the setting no task prefers a rack.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -43,6 +43,8 @@
 	PeerAddresses []string
 	// Seed is the seed of the random choices; zero selects a random seed.
 	Seed int64
+	// RemoteFactor is that of placement.Config.
+	RemoteFactor float64
 }
 
 // Broker is an entry instance for tasks that run under leases.
@@ -96,7 +98,7 @@
 	}
 	b := &Broker{
 		cfg: cfg, config: config, metrics: registry, rpcServer: rpcnet.NewServer(),
-		machine:     placement.New(placement.Config{Zone: cfg.Zone}, rand.New(rand.NewSource(cfg.Seed))),
+		machine:     placement.New(placement.Config{Zone: cfg.Zone, RemoteFactor: cfg.RemoteFactor}, rand.New(rand.NewSource(cfg.Seed))),
 		answerChans: map[string]chan work.Answer{}, sidecars: map[ident.Process]*sidecarClient{}, peers: map[string]*peer{},
 		announce: make(chan struct{}, 1),
 	}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -101,6 +101,8 @@
 		return "array of strings"
 	case int, int64:
 		return "whole number"
+	case *float64:
+		return "number"
 	}
 	return v.Kind().String()
 }
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -51,6 +51,10 @@
 	ReadyAddress  string `json:"readyAddress"`
 	// ApplyWithin is the maximum time until a new configuration is in force.
 	ApplyWithin Duration `json:"applyWithin"`
+	// RemoteFactor is the factor by which a task takes longer on another rack than the one of
+	// its data, or on several racks if its step runs faster on one. Without it, no task prefers
+	// a rack.
+	RemoteFactor *float64 `json:"remoteFactor"`
 }
 
 // Runner holds the settings of a sidecar that runs tasks under leases.
@@ -111,6 +115,7 @@
 		checkAddress("broker.callerAddress", f.Broker.CallerAddress, p)
 		checkAddress("broker.readyAddress", f.Broker.ReadyAddress, p)
 		checkTime("broker.applyWithin", f.Broker.ApplyWithin, minApplyWithin, maxPlatformTime, p)
+		f.Broker.checkRemoteFactor(p)
 	case f.Runner != nil:
 		f.Runner.PlatformProcess.check("runner", p)
 		checkAddress("runner.reportAddress", f.Runner.ReportAddress, p)
@@ -151,6 +156,15 @@
 	}
 }
 
+// Bounds of Broker.RemoteFactor.
+const minRemoteFactor, maxRemoteFactor = 1, 100
+
+func (b *Broker) checkRemoteFactor(p *ValidationError) {
+	if f := b.RemoteFactor; f != nil && !(*f >= minRemoteFactor && *f <= maxRemoteFactor) {
+		p.addProblem("broker.remoteFactor", *f, "a number of %d to %d", minRemoteFactor, maxRemoteFactor)
+	}
+}
+
 // Bounds of the times in the platform's settings.
 const (
 	minApplyWithin    = 100 * time.Millisecond
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -37,6 +37,29 @@
 	}
 }
 
+// TestRemoteFactor guards against a factor that makes a run away look shorter or endless, a message
+// that does not name field, value and range, and a preference without the setting.
+func TestRemoteFactor(t *testing.T) {
+	parse := func(field string) (*PlatformFile, error) {
+		return parsePlatform("test", []byte(strings.Replace(validBroker, `"instance"`, field+`"instance"`, 1)))
+	}
+	if f, err := parse(""); err != nil || f.Broker.RemoteFactor != nil {
+		t.Errorf("without the setting: %+v, %v", f, err)
+	}
+	if f, err := parse(`"remoteFactor":1.5,`); err != nil || *f.Broker.RemoteFactor != 1.5 {
+		t.Errorf("1.5: %+v, %v", f, err)
+	}
+	for value, want := range map[string]string{
+		"0": "a number of 1 to 100", "0.99": "a number of 1 to 100", "1e300": "a number of 1 to 100", "-2": "a number of 1 to 100",
+		`"2"`: "a value of type number", "null": "a value of type number",
+	} {
+		_, err := parse(`"remoteFactor":` + value + `,`)
+		if err == nil || !strings.Contains(err.Error(), "broker.remoteFactor: ") || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want the field and %q", value, err, want)
+		}
+	}
+}
+
 // FuzzParsePlatform guards against a settings file that ends a process, or passes with
 // values with which it does not work.
 func FuzzParsePlatform(f *testing.F) {
