broker: event and metrics of waits for racks

Each wait of a task for its rack that ended is logged as E8024, rate limited: how long, for which rack, what came of it, and how much earlier the task ended than expected elsewhere when the wait began. Per queue there are the histogram rack_wait_seconds, the counter rack_waits_total by outcome (paid, not_paid, moved_on, job_ended) and runs_away_total. They are created when first used, so that queues without preferred racks need no memory for them.

go test ./internal/event ./internal/metrics ./internal/broker: ok.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -228,6 +228,8 @@
 			b.enqueueBatch(now, a)
 		case placement.JobAnswer:
 			b.deliverAnswer(a)
+		case placement.WaitEnded:
+			b.recordWait(a)
 		case placement.CrashesLearned:
 			b.tellPeers(a.Records)
 		case placement.WorkerDescribed:
--- a/internal/broker/submit.go
+++ b/internal/broker/submit.go
@@ -116,6 +116,7 @@
 		pairs = append(pairs, "lastOutcome", stats.LastOutcome.String(), "lastReason", stats.LastReason, "lastWorker", stats.LastWorker)
 	}
 	event.LogRateLimited(event.JobAnswered, pairs...)
+	b.recordAwayRuns(stats)
 	if b.metrics != nil {
 		class := b.metrics.Class(stats.Queue, "")
 		class.Jobs.Add(a.Answer.State.String(), 1)
--- a/internal/event/job.go
+++ b/internal/event/job.go
@@ -118,10 +118,15 @@
 		Meaning: "A caller has canceled a job at this entry instance. If the job was not under way here, the instance has asked the others; `canceled` is false if all have answered that it is not under way there either.",
 		Action:  "None.",
 	}
+	RackWaitEnded = &Event{
+		Number: 8024, Severity: Info, Name: "rack wait ended",
+		Meaning: "The wait of a task for room on its preferred rack has ended after `waitedMs`. `outcome` tells what came of it: the task ran there and ended `gainedMs` earlier than expected on another rack when the wait began (`paid`) or not (`not paid`, zero or negative), it was placed elsewhere (`moved on`), or its job was answered first (`job ended`).",
+		Action:  "None. If few waits of a rack pay, the rack is too small for the data on it: move data, or compare `remoteFactor` with measured run times.",
+	}
 )
 
 var jobEvents = []*Event{
 	JobAnswered, JobRefused, RunEndedBadly, OwnerLost, OwnerInContact, WorkerChanged, WorkerAvailabilityChanged, OrderUnanswered,
 	RunnerInContact, RunnerLost, BatchRefused, ReadinessChanged, ReportMalformed, EntryDetached,
-	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored, WorkerCrashed, CrashLearned, StopsUndelivered, WorkerDescribed, JobCanceled,
+	RunStopped, PauseNoticed, HeartbeatIgnored, ReportIgnored, WorkerCrashed, CrashLearned, StopsUndelivered, WorkerDescribed, JobCanceled, RackWaitEnded,
 }
--- a/internal/metrics/class.go
+++ b/internal/metrics/class.go
@@ -26,12 +26,16 @@
 	Tasks *Counters
 	// Refused counts refused jobs by reason.
 	Refused *Counters
+
+	scope     tally.Scope
+	racksOnce sync.Once
+	racks     *RackMetrics // see Racks
 }
 
 func newClass(root tally.Scope, key classKey) *Class {
 	scope := root.Tagged(map[string]string{"team": key.team, "kind": key.kind})
 	return &Class{
-		key:      key,
+		key: key, scope: scope,
 		Response: newHistogram(scope, "job_response_seconds"),
 		Run:      newHistogram(scope, "task_run_seconds"),
 		Wait:     newHistogram(scope, "queue_wait_seconds"),
