placement: a review of waiting tasks asks the decision again

The review now asks the same decision, for each waiting task with the newest expected wait and the rest of its job. So a task is also sent on whose job ends later anyway, for instance because another task of it was placed elsewhere, and one that avoids the workers of its rack.

A rack counts as contended only if it is fuller than the others: on servers that are all full, sending tasks elsewhere that gain nothing near only costs room. The margin of a single estimate is 1.8, and a task stays in a queue near for up to 0.65 of the largest useful wait.

--- a/internal/decision/locality/locality.go
+++ b/internal/decision/locality/locality.go
@@ -17,7 +17,7 @@
 	// baseMargin is the margin of an estimate that is new and the only one. It is above 1
 	// because each waiting task delays the others that want the rack: without it, tasks
 	// would join until the expected wait equals the gain, and none would gain anything.
-	baseMargin = 1.5
+	baseMargin = 1.8
 	// marginPerDoubling is the increase of the margin with each doubling of the number of
 	// compared estimates, because the least of many uncertain waits is too low.
 	marginPerDoubling = 0.15
@@ -27,7 +27,7 @@
 	maxAgeMargin = 1.0
 	// queueShare is the part of the largest useful wait up to which a task stays in the queue
 	// of a worker near. The queue gets free room before a waiting task learns of it.
-	queueShare = 0.5
+	queueShare = 0.65
 )
 
 // Place is what a task expects at a place. Both times are at least zero.
@@ -59,7 +59,8 @@
 	// expected to start there early enough for the objective. Urgent is true if no other
 	// tasks are queued before it.
 	Queued, Urgent bool
-	// Contended is true if other tasks wait for the rack or if it is almost full.
+	// Contended is true if other tasks wait for the rack or it is almost full, and it is fuller
+	// than the others.
 	Contended bool
 }
 
--- a/internal/decision/placement/hold.go
+++ b/internal/decision/placement/hold.go
@@ -157,6 +157,15 @@
 	}
 }
 
+// remoteFactor returns the factor by which the tasks of a step take longer on a worker because of
+// its rack.
+func (m *Machine) remoteFactor(step *work.Step, w *worker) float64 {
+	if m.cfg.RemoteFactor > 1 && step.PreferredRack != "" && step.PreferredRack != w.info.Rack {
+		return m.cfg.RemoteFactor
+	}
+	return 1
+}
+
 // maxDuration is the largest time.
 const maxDuration = time.Duration(1<<63 - 1)
 
--- a/internal/decision/placement/locality.go
+++ b/internal/decision/placement/locality.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
-	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
 // maxNearWorkers is the largest number of workers on the rack of a task that are compared.
@@ -76,8 +75,12 @@
 	}
 }
 
-// sides holds the workers on a rack and candidates on others.
-type sides struct{ near, away []*worker }
+// sides holds the workers on a rack and candidates on others. contended is that of
+// locality.Task.
+type sides struct {
+	near, away []*worker
+	contended  bool
+}
 
 // chooser finds the choices of a plan.
 type chooser struct {
@@ -124,7 +127,7 @@
 	rack := rackOf(t)
 	s := c.racks[rack.rack]
 	if s == nil {
-		s = &sides{near: c.m.nearWorkers(rack.service, rack.rack)}
+		s = &sides{near: c.m.nearWorkers(rack.service, rack.rack), contended: c.m.isContended(rack)}
 		c.m.reserveForHolds(c.job, t, s.near)
 		c.racks[rack.rack] = s
 	}
@@ -147,16 +150,15 @@
 	s := c.sidesOf(t)
 	c.near.workers[i], c.away.workers[i] = nil, nil
 	near, nearWait := m.best(c.now, j, t, &j.spec.Steps[t.step], s.near, &c.near)
-	contended := len(m.holds[rack]) > 0 || isAlmostFull(s.near)
 	plannedNear := planned != nil && planned.info.Rack == rack.rack
 	away := planned
 	if plannedNear && awayWait == 0 {
 		near, nearWait = planned, 0
 	}
-	if planned == nil || plannedNear && (nearWait > 0 || contended) {
+	if planned == nil || plannedNear && (nearWait > 0 || s.contended) {
 		away, awayWait = c.bestAway(t, s)
 	}
-	isNear := plannedNear && c.plan.waits[i] == 0 && !contended
+	isNear := plannedNear && c.plan.waits[i] == 0 && !s.contended
 	if isNear || near == nil || t.avoids(near) || away == nil || awayWait > 0 && nearWait > 0 {
 		c.near.workers[i], c.away.workers[i] = planned, planned
 		return choice{}, false
@@ -164,25 +166,25 @@
 	c.near.workers[i], c.away.workers[i] = near, away
 	m.reservePlace(t, near)
 	m.reservePlace(t, away)
-	found = choice{index: i, near: near, away: away, task: c.question(t, near, away)}
-	found.task.Near.Wait, found.task.Away.Wait, found.task.Contended = nearWait, awayWait, contended
+	awayRunTime := m.estimateRunTime(away, &j.spec.Steps[t.step], j.estimate(t.step))
+	found = choice{index: i, near: near, away: away, task: m.question(c.now, t, near, awayRunTime)}
+	found.task.Near.Wait, found.task.Away.Wait, found.task.Contended = nearWait, awayWait, s.contended
 	found.task.Margin = locality.Margin(len(s.near), c.now-near.loadReceived)
 	found.task.Queued = plannedNear && !c.plan.late(c.now, j, i)
 	return found, true
 }
 
-// question returns what the decision needs to know of a task and two workers, without the
-// waits.
-func (c *chooser) question(t *task, near, away *worker) locality.Task {
-	j, step, tail := c.job, &c.job.spec.Steps[t.step], c.job.tail(t.step)
+// question returns what the decision needs to know of a task that may run at a worker near, or for
+// awayRunTime elsewhere, without the waits.
+func (m *Machine) question(now time.Duration, t *task, near *worker, awayRunTime time.Duration) locality.Task {
+	j, step, tail := t.job, &t.job.spec.Steps[t.step], t.job.tail(t.step)
 	q := locality.Task{
-		Near:      locality.Place{RunTime: c.m.estimateRunTime(near, step, j.estimate(t.step))},
-		Away:      locality.Place{RunTime: c.m.estimateRunTime(away, step, j.estimate(t.step))},
-		Objective: min(j.objectiveEnd, j.deadline) - c.now - tail, Deadline: j.deadline - c.now - tail,
+		Near: locality.Place{RunTime: m.estimateRunTime(near, step, j.estimate(t.step))}, Away: locality.Place{RunTime: awayRunTime},
+		Objective: min(j.objectiveEnd, j.deadline) - now - tail, Deadline: j.deadline - now - tail,
 		MilliCPU: step.Need.MilliCPU, Tail: tail, MaxWait: -1, Urgent: j.spec.Rank == 0,
 	}
 	if t.hold != nil {
-		q.MaxWait = max(t.hold.until-c.now, 0)
+		q.MaxWait = max(t.hold.until-now, 0)
 	}
 	return q
 }
@@ -194,26 +196,12 @@
 	}
 }
 
-// almostFull is the used part of a rack's processor capacity from which only tasks that gain
-// take room there.
-const almostFull = 0.8
-
-// isAlmostFull reports whether runs hold or queue for almostFull of the workers' capacity.
-func isAlmostFull(workers []*worker) bool {
-	free, capacity := int64(0), int64(0)
-	for _, w := range workers {
-		free += w.load.Free.MilliCPU - w.queuedUpTo(wire.NumRanks-1)
-		capacity += w.load.Capacity.MilliCPU
-	}
-	return float64(free) <= (1-almostFull)*float64(capacity)
-}
-
 // restOfJob returns the expected time until the last end of the job's tasks without those of
 // the choices.
 func (m *Machine) restOfJob(now time.Duration, j *job, p *plan, choices []choice) time.Duration {
-	rest := time.Duration(0)
+	rest := j.restOfRuns(now)
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.worker != nil || t.waitsForRack() {
+		if t := &j.tasks[i]; t.waitsForRack() {
 			rest = max(rest, t.expectedEnd-now+j.tail(t.step))
 		}
 	}
@@ -229,6 +217,17 @@
 	return rest
 }
 
+// restOfRuns returns the expected time until the job could end with the tasks that have runs.
+func (j *job) restOfRuns(now time.Duration) time.Duration {
+	rest := time.Duration(0)
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.worker != nil {
+			rest = max(rest, t.expectedEnd-now+j.tail(t.step))
+		}
+	}
+	return rest
+}
+
 // nearWorkers returns the workers of a service on a rack that can be given a run without
 // concern, at most maxNearWorkers.
 func (m *Machine) nearWorkers(service, rack string) []*worker {
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -222,10 +222,7 @@
 	if w.load.Slowness > 0 && !w.load.Probe {
 		runTime *= w.load.Slowness
 	}
-	if m.cfg.RemoteFactor > 1 && step.PreferredRack != "" && step.PreferredRack != w.info.Rack {
-		runTime *= m.cfg.RemoteFactor
-	}
-	return time.Duration(runTime)
+	return time.Duration(runTime * m.remoteFactor(step, w))
 }
 
 // utilizationCost returns a cost proportional to the used part of the worker's
--- a/internal/decision/placement/review.go
+++ b/internal/decision/placement/review.go
@@ -51,53 +51,58 @@
 	return m.nextHoldReview
 }
 
-// virtualRun is a waiting task that is counted in the queue of a worker during a review.
-type virtualRun struct {
-	worker   *worker
-	rank     int
-	milliCPU int64
-}
-
 // reviewRack places the waiting tasks of a rack for which there is room, in their order, and
-// moves those on for which a further wait does not pay.
+// moves those on for which a further wait does not pay. Those that keep waiting count as queued
+// for the later ones.
 func (m *Machine) reviewRack(now time.Duration, key rackKey) {
 	near := m.nearWorkers(key.service, key.rack)
-	var queued []virtualRun
+	queued := make([][wire.NumRanks]int64, len(near)) // thousandths of a core
 	var moved []*task
 	for _, h := range slices.Clone(m.holds[key]) {
 		t, j := h.task, h.task.job
-		step := &j.spec.Steps[t.step]
-		w, wait := m.best(now, j, t, step, near, &plan{})
-		margined := time.Duration(0)
-		if w != nil {
-			margined = time.Duration(locality.Margin(len(near), now-w.loadReceived) * float64(wait))
-		}
+		need := j.spec.Steps[t.step].Need
+		w, wait := m.best(now, j, t, &j.spec.Steps[t.step], near, &plan{})
+		usable := w != nil && !t.avoids(w)
 		switch {
 		case m.withheld(t): // settleTask places it again
-			m.endHold(now, h)
-			m.reportWait(h, 0, WaitMoved)
-		case w != nil && wait == 0 && !t.avoids(w):
+			m.moveOn(now, h)
+		case usable && wait == 0:
 			m.endHold(now, h)
 			m.startRun(now, t, w, true)
 			m.noteStart(now, t, 0)
-		case w == nil || now+margined >= h.until:
-			m.endHold(now, h)
-			m.reportWait(h, 0, WaitMoved)
+		case !usable || !m.furtherWaitPays(now, h, w, wait, len(near)):
+			m.moveOn(now, h)
 			moved = append(moved, t)
 		default:
 			rank := min(j.spec.Rank, wire.NumRanks-1)
-			w.load.QueuedMilliCPU[rank] += step.Need.MilliCPU
-			queued = append(queued, virtualRun{w, rank, step.Need.MilliCPU})
+			w.load.QueuedMilliCPU[rank] += need.MilliCPU
+			queued[slices.Index(near, w)][rank] += need.MilliCPU
 		}
 	}
-	for _, v := range queued {
-		v.worker.load.QueuedMilliCPU[v.rank] -= v.milliCPU
+	for i, w := range near {
+		for rank, milliCPU := range queued[i] {
+			w.load.QueuedMilliCPU[rank] -= milliCPU
+		}
 	}
 	for _, t := range moved {
 		m.placeElsewhere(now, t)
 	}
 }
 
+// furtherWaitPays decides again for a waiting task, with the expected wait at a worker of its rack.
+func (m *Machine) furtherWaitPays(now time.Duration, h *hold, w *worker, wait time.Duration, workers int) bool {
+	q := m.question(now, h.task, w, h.awayEnd-h.since)
+	q.Near.Wait, q.Margin = wait, locality.Margin(workers, now-w.loadReceived)
+	job := &locality.Job{Rest: h.task.job.restOfRuns(now), Tasks: []locality.Task{q}}
+	return m.cfg.DecideWaits(job)[0].Choice == locality.Wait
+}
+
+// moveOn ends the wait of a task that is to be placed elsewhere.
+func (m *Machine) moveOn(now time.Duration, h *hold) {
+	m.endHold(now, h)
+	m.reportWait(h, 0, WaitMoved)
+}
+
 // placeElsewhere places a task whose wait has ended on another rack if there is room, and
 // otherwise where it is expected to end first.
 func (m *Machine) placeElsewhere(now time.Duration, t *task) {
