placement: the model of waiting tasks ticks also when no worker is heard

With more checks than by default, TestHoldModel failed once all workers were silent: the step that lets time pass called Tick only with a heartbeat, so the review was due and not called. Tick is now called in each step.

--- a/internal/decision/placement/hold_model_test.go
+++ b/internal/decision/placement/hold_model_test.go
@@ -39,6 +39,7 @@
 		}
 		m.beat(i, free)
 	}
+	m.tick() // also if no worker is heard
 }
 
 func (m *holdModel) submitJob(t *rapid.T) {
