--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -49,6 +49,8 @@
 	// EvacuateWithin is the time in which an evacuation has to be in force; zero means that there
 	// are no evacuations.
 	EvacuateWithin time.Duration
+	// RemoteFactor is that of placement.Config.
+	RemoteFactor float64
 }
 
 // Broker is an entry instance for tasks that run under leases.
@@ -103,7 +105,8 @@
 	}
 	b := &Broker{
 		cfg: cfg, config: config, metrics: registry, rpcServer: rpcnet.NewServer(),
-		machine:     placement.New(placement.Config{Zone: cfg.Zone, WorkersSettle: placement.DefaultWorkersSettle, AdaptToDelay: cfg.AdaptToDelay}, rand.New(rand.NewSource(cfg.Seed))),
+		machine: placement.New(placement.Config{Zone: cfg.Zone, WorkersSettle: placement.DefaultWorkersSettle, AdaptToDelay: cfg.AdaptToDelay,
+			RemoteFactor: cfg.RemoteFactor}, rand.New(rand.NewSource(cfg.Seed))),
 		answerChans: map[string]chan work.Answer{}, sidecars: map[ident.Process]*sidecarClient{}, peers: map[string]*peer{},
 		announce: make(chan struct{}, 1), evacuation: zones.NewHolder(cfg.EvacuateWithin > 0, registry),
 	}
@@ -233,6 +236,8 @@
 			b.enqueueBatch(now, a)
 		case placement.JobAnswer:
 			b.deliverAnswer(a)
+		case placement.WaitEnded:
+			b.recordWait(a)
 		case placement.CrashesLearned:
 			b.tellPeers(a.Records)
 		case placement.WorkerDescribed:
--- /dev/null
+++ b/internal/decision/placement/review.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
+	"github.com/cardamomturn/cardamomturn/internal/wire"
+	"github.com/cardamomturn/cardamomturn/internal/work"
+)
+
+// noteRackLoad makes the next Tick review the tasks that wait for the rack of a worker.
+func (m *Machine) noteRackLoad(w *worker) {
+	if len(m.holds) == 0 {
+		return
+	}
+	if key := (rackKey{w.info.Service, w.info.Rack}); len(m.holds[key]) > 0 {
+		m.changedRacks[key] = true
+	}
+}
+
+// reviewHolds decides anew for the waiting tasks of the racks with new load summaries, and
+// for all when a wait ends or the review of all is due. It returns the time of the next
+// call, zero if no task waits.
+func (m *Machine) reviewHolds(now time.Duration) time.Duration {
+	if len(m.holds) == 0 {
+		m.nextHoldReview = 0
+		return 0
+	}
+	keys := slices.Collect(maps.Keys(m.changedRacks))
+	if now >= m.nextHoldReview {
+		m.fullReviewAt = now + holdReviewInterval
+		keys = slices.Collect(maps.Keys(m.holds))
+	}
+	slices.SortFunc(keys, func(a, b rackKey) int { return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.rack, b.rack)) })
+	clear(m.changedRacks)
+	for _, key := range keys {
+		m.reviewRack(now, key)
+	}
+	m.nextHoldReview = m.fullReviewAt
+	for _, list := range m.holds {
+		for _, h := range list {
+			m.nextHoldReview = min(m.nextHoldReview, h.until)
+		}
+	}
+	if len(m.holds) == 0 {
+		m.nextHoldReview = 0
+	}
+	return m.nextHoldReview
+}
+
+// reviewRack places the waiting tasks of a rack for which there is room, in their order, and
+// moves those on for which a further wait does not pay. Those that keep waiting count as queued
+// for the later ones.
+func (m *Machine) reviewRack(now time.Duration, key rackKey) {
+	near := m.nearWorkers(key.service, key.rack)
+	queued := make([][wire.NumRanks]int64, len(near)) // thousandths of a core
+	var moved []*task
+	for _, h := range slices.Clone(m.holds[key]) {
+		t, j := h.task, h.task.job
+		need := j.spec.Steps[t.step].Need
+		w, wait := m.best(now, j, t, &j.spec.Steps[t.step], near, &plan{waitFactor: 1})
+		usable := w != nil && !t.avoids(w)
+		switch {
+		case m.withheld(t): // settleTask places it again
+			m.moveOn(now, h)
+		case usable && wait == 0:
+			m.endHold(now, h)
+			m.startRun(now, t, w, true)
+			m.noteStart(now, t, 0)
+		case !usable || !m.furtherWaitPays(now, h, w, wait, len(near)):
+			m.moveOn(now, h)
+			moved = append(moved, t)
+		default:
+			rank := min(j.spec.Rank, wire.NumRanks-1)
+			w.load.QueuedMilliCPU[rank] += need.MilliCPU
+			queued[slices.Index(near, w)][rank] += need.MilliCPU
+		}
+	}
+	for i, w := range near {
+		for rank, milliCPU := range queued[i] {
+			w.load.QueuedMilliCPU[rank] -= milliCPU
+		}
+	}
+	for _, t := range moved {
+		m.placeElsewhere(now, t)
+	}
+}
+
+// furtherWaitPays decides again for a waiting task, with the expected wait at a worker of its rack.
+func (m *Machine) furtherWaitPays(now time.Duration, h *hold, w *worker, wait time.Duration, workers int) bool {
+	q := m.question(now, h.task, w, h.awayEnd-h.since)
+	q.Near.Wait, q.Margin = wait, locality.Margin(workers, now-w.loadReceived)
+	job := &locality.Job{Rest: h.task.job.restOfRuns(now), Tasks: []locality.Task{q}}
+	return m.cfg.DecideWaits(job)[0].Choice == locality.Wait
+}
+
+// moveOn ends the wait of a task that is to be placed elsewhere.
+func (m *Machine) moveOn(now time.Duration, h *hold) {
+	m.endHold(now, h)
+	m.reportWait(h, 0, WaitMoved)
+}
+
+// placeElsewhere places a task whose wait has ended on another rack if there is room, and
+// otherwise where it is expected to end first.
+func (m *Machine) placeElsewhere(now time.Duration, t *task) {
+	j := t.job
+	if j.answered || t.worker != nil {
+		return
+	}
+	step := &j.spec.Steps[t.step]
+	p := plan{waitFactor: 1, tasks: []*task{t}, workers: make([]*worker, 1), waits: make([]time.Duration, 1)}
+	p.workers[0], p.waits[0] = m.best(now, j, t, step, m.awayWorkers(j.spec.Service, step.PreferredRack), &plan{waitFactor: 1})
+	if p.workers[0] == nil || p.waits[0] > 0 {
+		p = m.planNow(now, j, p.tasks)
+	}
+	if now+p.minTime > j.deadline {
+		m.abandon(now, j, work.ReasonDeadline)
+		return
+	}
+	m.executePlan(now, j, p)
+}
+
+// reserveForHolds adds the tasks that wait for a rack before a task to the queues of its
+// workers, in equal parts.
+func (m *Machine) reserveForHolds(j *job, t *task, near []*worker) {
+	if len(near) == 0 {
+		return
+	}
+	step := &j.spec.Steps[t.step]
+	room := float64(step.Count) * float64(step.Need.MilliCPU) / 1000 * j.estimate(t.step).Seconds()
+	priority := locality.Priority(time.Duration((m.cfg.RemoteFactor-1)*float64(j.estimate(t.step))), room)
+	candidate := &hold{task: t, since: maxDuration, priority: priority}
+	for _, h := range m.holds[rackOf(t)] {
+		if h.before(candidate) < 0 {
+			share := h.task.job.spec.Steps[h.task.step].Need.MilliCPU / int64(len(near))
+			for _, w := range near {
+				w.load.QueuedMilliCPU[min(h.task.job.spec.Rank, wire.NumRanks-1)] += share
+			}
+		}
+	}
+}
--- a/internal/decision/placement/simulation/simulator_test.go
+++ b/internal/decision/placement/simulation/simulator_test.go
@@ -30,6 +30,7 @@
 	objective   time.Duration
 	runTimes    []time.Duration // by task
 	cpuSeconds  float64         // of all tasks, at speed 1
+	rack        string          // preferred rack, empty for none
 }
 
 // Run simulates a workload and returns the results.
@@ -46,6 +47,9 @@
 		w.open()
 	}
 	sim.scheduleDepartures()
+	if workload.LostAt > 0 {
+		sim.schedule(workload.LostAt, sim.loseFirstRack)
+	}
 	for i := range workload.Classes {
 		class := &workload.Classes[i]
 		sim.results.Classes[class.Name] = &ClassResult{}
