placement: tasks stay queued on a rack that is hardly fuller than others

A rack now counts as contended only if it is fuller than the others by more than remoteFactor. On a rack that is not contended, a task keeps its place in a queue near if it is expected to end no later there than elsewhere. The decision about waits and its constants are unchanged.

Run with the race detector: locality, placement and simulation pass.

--- a/internal/decision/locality/locality.go
+++ b/internal/decision/locality/locality.go
@@ -59,8 +59,8 @@
 	// expected to start there early enough for the objective. Urgent is true if no other
 	// tasks are queued before it.
 	Queued, Urgent bool
-	// Contended is true if other tasks wait for the rack or it is almost full, and it is fuller
-	// than the others.
+	// Contended is true if other tasks wait for the rack or it is almost full, and it is so much
+	// fuller than the others that a run away leaves more room for other tasks than it takes.
 	Contended bool
 }
 
@@ -155,6 +155,8 @@
 func (t *Task) decide(jobEnd time.Duration) Decision {
 	gain := max(t.Away.end()+t.Tail-jobEnd, 0)
 	switch {
+	case t.staysOnEvenRack():
+		return Decision{Choice: AsPlanned, Gain: gain}
 	case t.Away.Wait == 0 && gain < minGain && (t.Contended || t.Near.Wait > 0):
 		return Decision{Choice: Elsewhere}
 	case t.Near.Wait == 0 && t.Near.RunTime <= t.Away.end():
@@ -172,12 +174,19 @@
 	if t.Near.Wait == 0 {
 		return min(t.Near.RunTime, t.Away.end())
 	}
-	if t.pays() || t.staysQueued() {
+	if t.pays() || t.staysQueued() || t.staysOnEvenRack() {
 		return t.marginedWait() + t.Near.RunTime
 	}
 	return t.Away.end()
 }
 
+// staysOnEvenRack reports whether the task keeps its place in a queue near because its rack is not
+// much fuller than the others. A run away takes more processor time than one near, and where
+// the other racks are as full, other tasks wait longer for it than this one gains.
+func (t *Task) staysOnEvenRack() bool {
+	return t.Queued && !t.Contended && t.Near.end() <= t.Away.end()
+}
+
 // staysQueued reports whether the task keeps its place in the queue of a worker near.
 func (t *Task) staysQueued() bool {
 	share := queueShare
--- a/internal/decision/locality/locality_test.go
+++ b/internal/decision/locality/locality_test.go
@@ -39,9 +39,12 @@
 		"a wait that has lasted":             {func(t *Task) { t.MaxWait = 12 * ms }, 0, Wait, 12 * ms},
 		"a wait that is over":                {func(t *Task) { t.MaxWait = 0 }, 0, Elsewhere, 0},
 		"a place in a queue, soon free":      {func(t *Task) { t.Queued = true }, 0, AsPlanned, 0},
-		"a place in a queue, later free":     {func(t *Task) { t.Queued, t.Near.Wait = true, 35*ms }, 0, Wait, 50 * ms},
+		"a place in a queue, later free":     {func(t *Task) { t.Queued, t.Contended, t.Near.Wait = true, true, 35*ms }, 0, Wait, 50 * ms},
 		"a place in a queue, first in it":    {func(t *Task) { t.Queued, t.Urgent, t.Near.Wait = true, true, 30*ms }, 0, AsPlanned, 0},
-		"a place in a queue, nothing gained": {func(t *Task) { t.Queued = true }, 200 * ms, Elsewhere, 0},
+		"a place in a queue, nothing gained": {func(t *Task) { t.Queued, t.Contended = true, true }, 200 * ms, Elsewhere, 0},
+		"an even rack, later free":           {func(t *Task) { t.Queued, t.Near.Wait = true, 35*ms }, 0, AsPlanned, 0},
+		"an even rack, nothing gained":       {func(t *Task) { t.Queued = true }, 200 * ms, AsPlanned, 0},
+		"an even rack, sooner elsewhere":     {func(t *Task) { t.Queued, t.Near.Wait = true, 55*ms }, 0, Elsewhere, 0},
 	} {
 		one := task(10 * ms)
 		c.change(&one)
--- a/internal/decision/placement/contention.go
+++ b/internal/decision/placement/contention.go
@@ -7,7 +7,8 @@
 const almostFull = 0.8
 
 // isContended reports whether tasks wait for a rack or runs hold or queue for almostFull of its
-// capacity, and the rack is fuller than the others.
+// capacity, and the rack is fuller than the others by more than the remote factor, by which a
+// run on another rack takes more processor time.
 func (m *Machine) isContended(rack rackKey) bool {
 	var near, away usage
 	for _, w := range m.pools[rack.service].workers {
@@ -19,7 +20,7 @@
 			away.add(w)
 		}
 	}
-	return (len(m.holds[rack]) > 0 || near.share() >= almostFull) && near.share() > away.share()
+	return (len(m.holds[rack]) > 0 || near.share() >= almostFull) && near.share() > m.cfg.RemoteFactor*away.share()
 }
 
 // usage is the processor capacity of workers and the part that runs hold or queue for, in
