placement: a job with a preferred rack copies only the loads it changes

Each job with a preferred rack, or with a step on one rack, copied the load summaries of all workers of its service to restore them after the plan.

The plan now saves the summary of a worker before it reserves capacity there. The waiting tasks of a rack are summed up by rank before they are added to the workers of the rack.

--- a/internal/decision/placement/group.go
+++ b/internal/decision/placement/group.go
@@ -47,9 +47,9 @@
 		return false // the tasks run apart already
 	}
 	best := m.groupEnd(j, p, group, running)
-	loads := m.saveLoads(j.spec.Service)
+	var loads savedLoads
 	defer loads.restore()
-	m.reserveOthers(p, step)
+	p.reserveOthers(step, &loads)
 	tasks := make([]*task, len(group))
 	for i, index := range group {
 		tasks[i] = p.tasks[index]
@@ -98,10 +98,10 @@
 }
 
 // reserveOthers reserves the capacity of the planned tasks of other steps.
-func (m *Machine) reserveOthers(p *plan, step int) {
+func (p *plan) reserveOthers(step int, loads *savedLoads) {
 	for i, t := range p.tasks {
 		if t.step != step {
-			m.reservePlace(t, p.workers[i])
+			loads.reserve(t, p.workers[i])
 		}
 	}
 }
--- a/internal/decision/placement/locality.go
+++ b/internal/decision/placement/locality.go
@@ -92,6 +92,8 @@
 	// near and away are the plan with the places near, and with those away, that the choices
 	// so far have found. They count the tasks of a step on a worker.
 	near, away plan
+	// loads are those before the reservations for the choices so far.
+	loads savedLoads
 }
 
 // choices returns the tasks of a plan that have both a place on their rack and free capacity
@@ -99,15 +101,14 @@
 // Where all workers are full, tasks wait in the queues of the workers, which have an order of
 // ranks across all entry instances.
 func (m *Machine) choices(now time.Duration, j *job, p *plan) []choice {
-	loads := m.saveLoads(j.spec.Service)
-	defer loads.restore()
+	c := chooser{m: m, now: now, job: j, plan: p, racks: map[string]*sides{},
+		near: plan{waitFactor: 1, tasks: p.tasks, workers: slices.Clone(p.workers)}, away: plan{waitFactor: 1, tasks: p.tasks, workers: slices.Clone(p.workers)}}
+	defer c.loads.restore()
 	for i, t := range p.tasks {
 		if !m.mayWait(t) {
-			m.reservePlace(t, p.workers[i])
+			c.loads.reserve(t, p.workers[i])
 		}
 	}
-	c := chooser{m: m, now: now, job: j, plan: p, racks: map[string]*sides{},
-		near: plan{waitFactor: 1, tasks: p.tasks, workers: slices.Clone(p.workers)}, away: plan{waitFactor: 1, tasks: p.tasks, workers: slices.Clone(p.workers)}}
 	var list []choice
 	for i, t := range p.tasks {
 		if !m.mayWait(t) {
@@ -116,7 +117,7 @@
 		if found, ok := c.choose(i); ok {
 			list = append(list, found)
 		} else {
-			m.reservePlace(t, p.workers[i])
+			c.loads.reserve(t, p.workers[i])
 		}
 	}
 	return list
@@ -128,7 +129,7 @@
 	s := c.racks[rack.rack]
 	if s == nil {
 		s = &sides{near: c.m.nearWorkers(rack.service, rack.rack), contended: c.m.isContended(rack)}
-		c.m.reserveForHolds(c.job, t, s.near)
+		c.m.reserveForHolds(c.job, t, s.near, &c.loads)
 		c.racks[rack.rack] = s
 	}
 	return s
@@ -164,8 +165,8 @@
 		return choice{}, false
 	}
 	c.near.workers[i], c.away.workers[i] = near, away
-	m.reservePlace(t, near)
-	m.reservePlace(t, away)
+	c.loads.reserve(t, near)
+	c.loads.reserve(t, away)
 	awayRunTime := m.estimateRunTime(away, &j.spec.Steps[t.step], j.estimate(t.step))
 	found = choice{index: i, near: near, away: away, task: m.question(c.now, t, near, awayRunTime)}
 	found.task.Near.Wait, found.task.Away.Wait, found.task.Contended = nearWait, awayWait, s.contended
@@ -189,13 +190,6 @@
 	return q
 }
 
-// reservePlace reserves the capacity for a task at a worker, which may be nil.
-func (m *Machine) reservePlace(t *task, w *worker) {
-	if w != nil {
-		w.reserve(t.job.spec.Steps[t.step].Need, t.job.spec.Rank, t.job.estimate(t.step).Milliseconds())
-	}
-}
-
 // restOfJob returns the expected time until the last end of the job's tasks without those of
 // the choices.
 func (m *Machine) restOfJob(now time.Duration, j *job, p *plan, choices []choice) time.Duration {
--- a/internal/decision/placement/review.go
+++ b/internal/decision/placement/review.go
@@ -124,21 +124,25 @@
 }
 
 // reserveForHolds adds the tasks that wait for a rack before a task to the queues of its
-// workers, in equal parts.
-func (m *Machine) reserveForHolds(j *job, t *task, near []*worker) {
-	if len(near) == 0 {
+// workers, in equal parts. It saves their load summaries before.
+func (m *Machine) reserveForHolds(j *job, t *task, near []*worker, loads *savedLoads) {
+	if len(near) == 0 || len(m.holds[rackOf(t)]) == 0 {
 		return
 	}
 	step := &j.spec.Steps[t.step]
 	room := float64(step.Count) * float64(step.Need.MilliCPU) / 1000 * j.estimate(t.step).Seconds()
 	priority := locality.Priority(time.Duration((m.cfg.RemoteFactor-1)*float64(j.estimate(t.step))), room)
 	candidate := &hold{task: t, since: maxDuration, priority: priority}
+	var shares [wire.NumRanks]int64 // thousandths of a core
 	for _, h := range m.holds[rackOf(t)] {
 		if h.before(candidate) < 0 {
-			share := h.task.job.spec.Steps[h.task.step].Need.MilliCPU / int64(len(near))
-			for _, w := range near {
-				w.load.QueuedMilliCPU[min(h.task.job.spec.Rank, wire.NumRanks-1)] += share
-			}
+			shares[min(h.task.job.spec.Rank, wire.NumRanks-1)] += h.task.job.spec.Steps[h.task.step].Need.MilliCPU / int64(len(near))
+		}
+	}
+	for _, w := range near {
+		loads.save(w)
+		for rank, share := range shares {
+			w.load.QueuedMilliCPU[rank] += share
 		}
 	}
 }
