placement: Explain names the evacuation of a worker's zone

Workers of a zone under evacuation are not usable since evacuations were merged, and Explain, which was merged beside them, gave "its newest description has not come" as the reason. It now has a reason of its own. TestExplain fails without it; go test ./internal/decision/placement passes.

--- a/internal/decision/placement/explain.go
+++ b/internal/decision/placement/explain.go
@@ -58,6 +58,7 @@
 	ExcludedOutOfContact  Exclusion = "out of contact"
 	ExcludedUnresponsive  Exclusion = "its sidecar does not answer"
 	ExcludedClosed        Exclusion = "accepts no runs"
+	ExcludedEvacuated     Exclusion = "its zone is under evacuation"
 	ExcludedUndescribed   Exclusion = "its newest description has not come"
 	ExcludedNeed          Exclusion = "too small for the task"
 	ExcludedRequiredLabel Exclusion = "lacks the required label"
@@ -118,6 +119,8 @@
 		return ExcludedUnresponsive
 	case !w.load.AcceptsRuns:
 		return ExcludedClosed
+	case w.evacuated:
+		return ExcludedEvacuated
 	case !w.usable():
 		return ExcludedUndescribed
 	case !step.Need.FitsIn(w.load.Capacity):
--- a/internal/decision/placement/explain_test.go
+++ b/internal/decision/placement/explain_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"testing"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
@@ -12,11 +13,12 @@
 // Guards against an explanation that names the wrong workers, ends or reasons, or grows with the
 // number of workers or steps.
 func TestExplain(t *testing.T) {
-	h := newRackHarness(t, 1.5, "a", "b", "c", "d", "e")
+	h := newRackHarness(t, 1.5, "a", "b", "c", "d", "e", "f")
 	h.beat(0, 0) // full, near
 	h.m.SidecarLost(h.now, process(2))
 	h.beat(3, 32000, func(l *wire.Load) { l.AcceptsRuns = false })
 	h.m.SetUnresponsive(process(4), true)
+	h.m.SetEvacuation(h.now, evacuation.State{Revision: 1, Zones: []string{info(5).Sidecar.Zone}})
 	spec := wanting("j", 2)
 	spec.Steps = append(spec.Steps, work.Step{Count: 1, Need: work.Resources{MilliCPU: 99000}}, work.Step{Count: 1, RequiredLabel: "gpu"})
 	got := h.m.Explain(spec)
@@ -24,7 +26,7 @@
 	if near.Rack != "a" || near.Wait <= 0 || near.RunTime != 400*ms || near.End != near.Wait+near.RunTime || away.Rack != "b" || away.End != 600*ms {
 		t.Errorf("candidates %+v", got.Steps[0].Candidates)
 	}
-	lost := map[Exclusion]int{ExcludedOutOfContact: 1, ExcludedClosed: 1, ExcludedUnresponsive: 1}
+	lost := map[Exclusion]int{ExcludedOutOfContact: 1, ExcludedClosed: 1, ExcludedUnresponsive: 1, ExcludedEvacuated: 1}
 	for i, reason := range []Exclusion{"", ExcludedNeed, ExcludedRequiredLabel} {
 		want := map[Exclusion]int{}
 		for r, n := range lost {
