placement: adaptToDelay also bounds the returns before a wait for a rack

With adaptToDelay, a task whose returns have taken about 45 ms waits in the queue of its next worker. A task that prefers a rack kept waiting at the entry instance up to the fixed bound of four returns instead, so the setting had no effect on it. Both now use the same bound.

TestNoWaitAfterSlowReturns fails without the change. TestWaitsForRacks does not set adaptToDelay, so its results are not affected. go test ./internal/decision/placement passes.

--- a/internal/decision/placement/locality.go
+++ b/internal/decision/placement/locality.go
@@ -28,7 +28,7 @@
 // runs were rejected several times waits in the queue of a worker.
 func (m *Machine) mayWait(t *task) bool {
 	step := &t.job.spec.Steps[t.step]
-	return step.PreferredRack != "" && !step.OneRack && t.noRoomEnds < maxNoRoomEnds
+	return step.PreferredRack != "" && !step.OneRack && t.noRoomEnds < m.noRoomEndsBeforeWait()
 }
 
 // choice holds the places that a task of a plan chooses between.
