--- a/internal/decision/placement/hold_test.go
+++ b/internal/decision/placement/hold_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
@@ -193,6 +194,9 @@
 		"no answer":   func(h *rackHarness, i int) { h.m.SetUnresponsive(process(i), true) },
 		"suspect":     func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.Suspect = true }) },
 		"closed":      func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.AcceptsRuns = false }) },
+		"evacuated": func(h *rackHarness, _ int) {
+			h.m.SetEvacuation(h.now, evacuation.State{Revision: 1, Zones: []string{info(0).Sidecar.Zone, info(1).Sidecar.Zone}})
+		},
 		"a long wait": func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.QueuedMilliCPU[0] = 64000 }) },
 	} {
 		h := newFullRack(t)
