placement: load summaries of a crowded rack cost no review

Each load summary of a rack reviewed all its waiting tasks against all its workers, up to 128 times 32 comparisons and 128 decisions. At a thousand summaries a second that is more than a tenth of a core.

If there are more than 256 comparisons and no worker of the rack can have room for a task, the decisions are now left to the review every 20 ms. Smaller reviews are as before, so that a task without prospect leaves the rack at once.

--- a/internal/decision/placement/hold_test.go
+++ b/internal/decision/placement/hold_test.go
@@ -190,10 +190,10 @@
 // Guards against a task that waits for a rack on which it can't run any more, or without prospect.
 func TestPlaceLost(t *testing.T) {
 	for name, lose := range map[string]func(h *rackHarness, i int){
-		"ended":       func(h *rackHarness, i int) { h.m.SidecarLost(h.now, process(i)) },
-		"no answer":   func(h *rackHarness, i int) { h.m.SetUnresponsive(process(i), true) },
-		"suspect":     func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.Suspect = true }) },
-		"closed":      func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.AcceptsRuns = false }) },
+		"ended":     func(h *rackHarness, i int) { h.m.SidecarLost(h.now, process(i)) },
+		"no answer": func(h *rackHarness, i int) { h.m.SetUnresponsive(process(i), true) },
+		"suspect":   func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.Suspect = true }) },
+		"closed":    func(h *rackHarness, i int) { h.beat(i, 0, func(l *wire.Load) { l.AcceptsRuns = false }) },
 		"evacuated": func(h *rackHarness, _ int) {
 			h.m.SetEvacuation(h.now, evacuation.State{Revision: 1, Zones: []string{info(0).Sidecar.Zone, info(1).Sidecar.Zone}})
 		},
--- a/internal/decision/placement/review.go
+++ b/internal/decision/placement/review.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,8 +22,8 @@
 	}
 }
 
-// reviewHolds decides anew for the waiting tasks of the racks with new load summaries, and
-// for all when a wait ends or the review of all is due. It returns the time of the next
+// reviewHolds decides anew for the waiting tasks of the racks with new load summaries, unless
+// needsPromptReview says no, and for all when a wait ends or the review of all is due. It returns the time of the next
 // call, zero if no task waits.
 func (m *Machine) reviewHolds(now time.Duration) time.Duration {
 	if len(m.holds) == 0 {
@@ -30,14 +31,17 @@
 		return 0
 	}
 	keys := slices.Collect(maps.Keys(m.changedRacks))
-	if now >= m.nextHoldReview {
+	all := now >= m.nextHoldReview
+	if all {
 		m.fullReviewAt = now + holdReviewInterval
 		keys = slices.Collect(maps.Keys(m.holds))
 	}
 	slices.SortFunc(keys, func(a, b rackKey) int { return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.rack, b.rack)) })
 	clear(m.changedRacks)
 	for _, key := range keys {
-		m.reviewRack(now, key)
+		if all || m.needsPromptReview(key) {
+			m.reviewRack(now, key)
+		}
 	}
 	m.nextHoldReview = m.fullReviewAt
 	for _, list := range m.holds {
@@ -51,6 +55,27 @@
 	return m.nextHoldReview
 }
 
+// maxPromptComparisons is the largest number of comparisons of waiting tasks with workers in a
+// review for a load summary that brings no room. A longer one waits for the review of all tasks, so
+// that the cost of the load summaries of a full rack does not grow with its waiting tasks.
+const maxPromptComparisons = 256
+
+// needsPromptReview reports whether the waiting tasks of a rack with a new load summary are reviewed
+// at once, because there may be room for one or the review is short.
+func (m *Machine) needsPromptReview(key rackKey) bool {
+	near := m.nearWorkers(key.service, key.rack)
+	if len(near)*len(m.holds[key]) <= maxPromptComparisons {
+		return true
+	}
+	least := int64(math.MaxInt64) // thousandths of a core
+	for _, h := range m.holds[key] {
+		least = min(least, h.task.job.spec.Steps[h.task.step].Need.MilliCPU)
+	}
+	return slices.ContainsFunc(near, func(w *worker) bool {
+		return w.queuedUpTo(0) == 0 && w.load.Free.MilliCPU >= min(least, w.load.Capacity.MilliCPU)
+	})
+}
+
 // reviewRack places the waiting tasks of a rack for which there is room, in their order, and
 // moves those on for which a further wait does not pay. Those that keep waiting count as queued
 // for the later ones.
