placement: rename the waits for racks

A job of a process that has just started is held (Machine.hold, job.held), and a task that waits for its rack had a hold in Machine.holds and job.holds. The two mechanisms are independent, and the names suggested otherwise. The wait for a rack is now a rackWait everywhere, its file rackwait.go. No behaviour changes.

go build and go vet of all packages, and the tests of locality, placement, event and broker pass.

--- a/internal/decision/placement/batch.go
+++ b/internal/decision/placement/batch.go
@@ -101,8 +101,8 @@
 func (m *Machine) executePlan(now time.Duration, j *job, p plan) {
 	for i, t := range p.tasks {
 		w := p.workers[i]
-		if p.holds != nil && p.holds[i] != nil {
-			m.beginHold(now, t, p.holds[i])
+		if p.rackWaits != nil && p.rackWaits[i] != nil {
+			m.beginRackWait(now, t, p.rackWaits[i])
 			continue
 		}
 		if w == nil {
--- a/internal/decision/placement/contention.go
+++ b/internal/decision/placement/contention.go
@@ -20,7 +20,7 @@
 			away.add(w)
 		}
 	}
-	return (len(m.holds[rack]) > 0 || near.share() >= almostFull) && near.share() > m.cfg.RemoteFactor*away.share()
+	return (len(m.rackWaits[rack]) > 0 || near.share() >= almostFull) && near.share() > m.cfg.RemoteFactor*away.share()
 }
 
 // usage is the processor capacity of workers and the part that runs hold or queue for, in
--- a/internal/decision/placement/crowded_rack_test.go
+++ b/internal/decision/placement/crowded_rack_test.go
@@ -27,10 +27,10 @@
 		}
 		return list
 	}
-	for i := range maxHoldsPerRack + 1 {
+	for i := range maxWaitsPerRack + 1 {
 		h.submit(wanting(fmt.Sprint("j", i), 1))
 	}
-	if n := len(h.m.holds[rackKey{"svc", "a"}]); n != maxHoldsPerRack {
+	if n := len(h.m.rackWaits[rackKey{"svc", "a"}]); n != maxWaitsPerRack {
 		t.Fatalf("%d tasks wait", n)
 	}
 	if away := len(h.takeRuns()[process(len(racks))]); away != 1 {
@@ -56,9 +56,9 @@
 		t.Errorf("runs %v after there was room for one", runs)
 	}
 	*decisions = 0
-	h.now += holdReviewInterval
+	h.now += rackReviewInterval
 	h.tick()
-	if *decisions != maxHoldsPerRack-1 {
+	if *decisions != maxWaitsPerRack-1 {
 		t.Errorf("%d decisions in the review of all", *decisions)
 	}
 }
--- a/internal/decision/placement/job.go
+++ b/internal/decision/placement/job.go
@@ -33,8 +33,8 @@
 	avoidedWorkers []*worker
 	// silentWorkers are the workers of earlier runs that have not been heard since.
 	silentWorkers []silentWorker
-	// hold is the newest wait for room on the preferred rack; nil if there was none.
-	hold *hold
+	// rackWait is the newest wait for room on the preferred rack; nil if there was none.
+	rackWait *rackWait
 	// expectedEnd is the expected end of the newest run, or of the one that is waited for.
 	expectedEnd time.Duration
 }
@@ -72,8 +72,8 @@
 	unfinished []int // number of tasks that are not done, by step
 	doneTasks  int
 	openRuns   int // number of runs that may be queued or running
-	// holds is the number of tasks that wait for room on their racks.
-	holds int
+	// rackWaits is the number of tasks that wait for room on their racks.
+	rackWaits int
 	// tails holds the result of tail by step, once it was needed.
 	tails      []time.Duration
 	mayHaveRun bool
--- a/internal/decision/placement/locality.go
+++ b/internal/decision/placement/locality.go
@@ -61,14 +61,14 @@
 		p.workers[c.index], p.waits[c.index] = c.near, 0
 	case locality.Wait:
 		t := p.tasks[c.index]
-		if !m.hasRoomForHold(t) {
+		if !m.mayAddRackWait(t) {
 			p.workers[c.index], p.waits[c.index] = c.away, c.task.Away.Wait
 			return
 		}
-		if p.holds == nil {
-			p.holds = make([]*hold, len(p.tasks))
+		if p.rackWaits == nil {
+			p.rackWaits = make([]*rackWait, len(p.tasks))
 		}
-		p.holds[c.index] = newHold(now, t, &c.task, d)
+		p.rackWaits[c.index] = newRackWait(now, t, &c.task, d)
 		p.workers[c.index], p.waits[c.index] = nil, c.task.Near.Wait
 	case locality.Elsewhere:
 		p.workers[c.index], p.waits[c.index] = c.away, c.task.Away.Wait
@@ -129,7 +129,7 @@
 	s := c.racks[rack.rack]
 	if s == nil {
 		s = &sides{near: c.m.nearWorkers(rack.service, rack.rack), contended: c.m.isContended(rack)}
-		c.m.reserveForHolds(c.job, t, s.near, &c.loads)
+		c.m.reserveForRackWaits(c.job, t, s.near, &c.loads)
 		c.racks[rack.rack] = s
 	}
 	return s
@@ -184,8 +184,8 @@
 		Objective: min(j.objectiveEnd, j.deadline) - now - tail, Deadline: j.deadline - now - tail,
 		MilliCPU: step.Need.MilliCPU, Tail: tail, MaxWait: -1, Urgent: j.spec.Rank == 0,
 	}
-	if t.hold != nil {
-		q.MaxWait = max(t.hold.until-now, 0)
+	if t.rackWait != nil {
+		q.MaxWait = max(t.rackWait.until-now, 0)
 	}
 	return q
 }
@@ -250,15 +250,15 @@
 func (p *plan) assess(now time.Duration, j *job) {
 	p.maxWait, p.minTime, p.admissible = 0, 0, true
 	for i, t := range p.tasks {
-		held := p.holds != nil && p.holds[i] != nil
-		if p.workers[i] == nil && !held {
+		waits := p.rackWaits != nil && p.rackWaits[i] != nil
+		if p.workers[i] == nil && !waits {
 			p.admissible = false
 			p.minTime = max(p.minTime, noWorkerDelay+j.minRunTime(t.step))
 			continue
 		}
 		wait := p.waits[i]
 		p.maxWait, p.minTime = max(p.maxWait, wait), max(p.minTime, wait+j.minRunTime(t.step))
-		if !held && p.late(now, j, i) || now+p.minTime > j.deadline {
+		if !waits && p.late(now, j, i) || now+p.minTime > j.deadline {
 			p.admissible = false
 		}
 	}
--- a/internal/decision/placement/locality_test.go
+++ b/internal/decision/placement/locality_test.go
@@ -28,7 +28,7 @@
 	for i := range 2 {
 		h.m.SetUnresponsive(process(i), true)
 	}
-	h.now += holdReviewInterval
+	h.now += rackReviewInterval
 	h.tick()
 	run := h.takeRuns()[process(2)][0]
 	h.now += 120 * ms
@@ -38,7 +38,7 @@
 	}
 	h.endRun(process(2), run, work.NoRoom)
 	if runs := h.takeRuns(); len(runs[process(2)]) != 1 {
-		t.Errorf("runs %v, and %d tasks wait", runs, h.m.jobs["j"].holds)
+		t.Errorf("runs %v, and %d tasks wait", runs, h.m.jobs["j"].rackWaits)
 	}
 }
 
@@ -49,13 +49,13 @@
 	h.beat(0, 0)
 	h.beat(1, 0)
 	h.submit(wanting("j", 2))
-	if h.m.jobs["j"].holds != 2 {
-		t.Fatalf("%d tasks wait", h.m.jobs["j"].holds)
+	if h.m.jobs["j"].rackWaits != 2 {
+		t.Fatalf("%d tasks wait", h.m.jobs["j"].rackWaits)
 	}
 	h.now += ms
 	h.beat(1, 0, func(l *wire.Load) { l.Suspect = true })
-	if h.m.jobs["j"].holds != 1 {
-		t.Fatalf("%d tasks wait for one worker", h.m.jobs["j"].holds)
+	if h.m.jobs["j"].rackWaits != 1 {
+		t.Fatalf("%d tasks wait for one worker", h.m.jobs["j"].rackWaits)
 	}
 	h.now += ms
 	h.beat(0, 0)
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -149,13 +149,13 @@
 	// unanswered holds the jobs without an answer, the earliest deadline first.
 	unanswered indexedheap.Heap[*job]
 	waiting    []*job // jobs with tasks to place later
-	// holds are the tasks that wait for room on their racks, in the order in which they get
+	// rackWaits are the tasks that wait for room on their racks, in the order in which they get
 	// it, and changedRacks the racks with new load summaries since the last review.
-	holds        map[rackKey][]*hold
+	rackWaits    map[rackKey][]*rackWait
 	changedRacks map[rackKey]bool
-	// nextHoldReview is the time of the next review of all holds, zero if there are none.
-	nextHoldReview time.Duration
-	// fullReviewAt is the latest time of the next review of all holds.
+	// nextRackReview is the time of the next review of all waits for racks, zero if there are none.
+	nextRackReview time.Duration
+	// fullReviewAt is the latest time of the next review of all waits for racks.
 	fullReviewAt time.Duration
 	unsent       []*worker // workers with a batch for Actions to return
 	delay        batchDelay
@@ -195,7 +195,7 @@
 	if cfg.DecideWaits == nil {
 		cfg.DecideWaits = locality.Decide
 	}
-	return &Machine{cfg: cfg, startup: startup{settle: cfg.WorkersSettle}, holds: map[rackKey][]*hold{}, changedRacks: map[rackKey]bool{}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	return &Machine{cfg: cfg, startup: startup{settle: cfg.WorkersSettle}, rackWaits: map[rackKey][]*rackWait{}, changedRacks: map[rackKey]bool{}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
 }
 
 // pool holds the workers of one service.
--- a/internal/decision/placement/plan.go
+++ b/internal/decision/placement/plan.go
@@ -36,8 +36,8 @@
 	tasks   []*task
 	workers []*worker // by task; nil if no worker can take the task now
 	waits   []time.Duration
-	// holds has an element for each task that waits for room on its rack; nil if none does.
-	holds []*hold
+	// rackWaits has an element for each task that waits for room on its rack; nil if none does.
+	rackWaits []*rackWait
 	// margin is the factor by which admission multiplies waits.
 	margin float64
 	// maxWait is the longest expected wait of a task for free capacity. minTime is
--- a/internal/decision/placement/hold.go
+++ b/internal/decision/placement/rackwait.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// maxHoldsPerRack bounds the tasks that wait for a rack, and with them the cost of a
+	// maxWaitsPerRack bounds the tasks that wait for a rack, and with them the cost of a
 	// review. Further tasks are placed elsewhere.
-	maxHoldsPerRack = 128
-	// holdReviewInterval is the time between two reviews of all waiting tasks, for racks
+	maxWaitsPerRack = 128
+	// rackReviewInterval is the time between two reviews of all waiting tasks, for racks
 	// that are lost without a new load summary.
-	holdReviewInterval = contactCheckInterval
+	rackReviewInterval = contactCheckInterval
 )
 
 // rackKey identifies the workers of a service on a rack.
@@ -27,9 +27,9 @@
 	return rackKey{t.job.spec.Service, t.job.spec.Steps[t.step].PreferredRack}
 }
 
-// hold is the wait of a task for room on its rack. A waiting task has no run and holds no
+// rackWait is the wait of a task for room on its rack. A waiting task has no run and holds no
 // capacity.
-type hold struct {
+type rackWait struct {
 	task *task
 	// active is true while the task waits, and reported once WaitEnded has been emitted.
 	active, reported bool
@@ -70,59 +70,59 @@
 
 func (WaitEnded) action() {}
 
-func newHold(now time.Duration, t *task, question *locality.Task, d locality.Decision) *hold {
-	if t.hold != nil && !t.hold.reported { // its run near found no room
-		again := *t.hold
+func newRackWait(now time.Duration, t *task, question *locality.Task, d locality.Decision) *rackWait {
+	if t.rackWait != nil && !t.rackWait.reported { // its run near found no room
+		again := *t.rackWait
 		again.until, again.priority = min(again.until, now+d.Until), d.Priority
 		return &again
 	}
 	near, away := question.Near, question.Away
-	return &hold{task: t, since: now, until: now + d.Until, awayEnd: now + away.Wait + away.RunTime, nearEnd: now + near.Wait + near.RunTime, priority: d.Priority}
+	return &rackWait{task: t, since: now, until: now + d.Until, awayEnd: now + away.Wait + away.RunTime, nearEnd: now + near.Wait + near.RunTime, priority: d.Priority}
 }
 
 // waitsForRack reports whether a task waits for room on its rack.
-func (t *task) waitsForRack() bool { return t.hold != nil && t.hold.active }
+func (t *task) waitsForRack() bool { return t.rackWait != nil && t.rackWait.active }
 
 // before orders the waiting tasks of a rack: by rank, then the largest gain, then the
 // earliest.
-func (h *hold) before(o *hold) int {
+func (h *rackWait) before(o *rackWait) int {
 	return cmp.Or(cmp.Compare(h.task.job.spec.Rank, o.task.job.spec.Rank), cmp.Compare(o.priority, h.priority), cmp.Compare(h.since, o.since),
 		cmp.Compare(h.task.job.spec.ID, o.task.job.spec.ID), cmp.Compare(h.task.step, o.task.step), cmp.Compare(h.task.index, o.task.index))
 }
 
-// hasRoomForHold reports whether another task may wait for the rack of a task.
-func (m *Machine) hasRoomForHold(t *task) bool { return len(m.holds[rackOf(t)]) < maxHoldsPerRack }
+// mayAddRackWait reports whether another task may wait for the rack of a task.
+func (m *Machine) mayAddRackWait(t *task) bool { return len(m.rackWaits[rackOf(t)]) < maxWaitsPerRack }
 
-// beginHold makes a task wait for room on its rack.
-func (m *Machine) beginHold(now time.Duration, t *task, h *hold) {
-	if len(m.holds) == 0 {
-		m.fullReviewAt = now + holdReviewInterval
-		m.nextHoldReview = m.fullReviewAt
+// beginRackWait makes a task wait for room on its rack.
+func (m *Machine) beginRackWait(now time.Duration, t *task, h *rackWait) {
+	if len(m.rackWaits) == 0 {
+		m.fullReviewAt = now + rackReviewInterval
+		m.nextRackReview = m.fullReviewAt
 	}
-	t.hold, h.active = h, true
+	t.rackWait, h.active = h, true
 	t.expectedEnd = h.nearEnd
 	key := rackOf(t)
-	list := m.holds[key]
-	i, _ := slices.BinarySearchFunc(list, h, (*hold).before)
-	m.holds[key] = slices.Insert(list, i, h)
-	t.job.holds++
-	m.nextHoldReview = min(m.nextHoldReview, h.until)
+	list := m.rackWaits[key]
+	i, _ := slices.BinarySearchFunc(list, h, (*rackWait).before)
+	m.rackWaits[key] = slices.Insert(list, i, h)
+	t.job.rackWaits++
+	m.nextRackReview = min(m.nextRackReview, h.until)
 }
 
-// endHold ends the wait of a task.
-func (m *Machine) endHold(now time.Duration, h *hold) {
+// endRackWait ends the wait of a task.
+func (m *Machine) endRackWait(now time.Duration, h *rackWait) {
 	h.active, h.endedAt = false, now
-	h.task.job.holds--
+	h.task.job.rackWaits--
 	key := rackOf(h.task)
-	list := m.holds[key]
+	list := m.rackWaits[key]
 	list = slices.Delete(list, slices.Index(list, h), slices.Index(list, h)+1)
-	if m.holds[key] = list; len(list) == 0 {
-		delete(m.holds, key)
+	if m.rackWaits[key] = list; len(list) == 0 {
+		delete(m.rackWaits, key)
 	}
 }
 
 // reportWait emits what came of a wait.
-func (m *Machine) reportWait(h *hold, gain time.Duration, outcome WaitOutcome) {
+func (m *Machine) reportWait(h *rackWait, gain time.Duration, outcome WaitOutcome) {
 	h.reported = true
 	key := rackOf(h.task)
 	m.actions = append(m.actions, WaitEnded{Task: h.task.id(), Queue: h.task.job.spec.Queue, Rack: key.rack, Waited: h.endedAt - h.since, Gain: gain, Outcome: outcome})
@@ -130,7 +130,7 @@
 
 // recordWaitResult records the end of the run for which a task has waited.
 func (m *Machine) recordWaitResult(now time.Duration, t *task, outcome work.Outcome) {
-	h := t.hold
+	h := t.rackWait
 	switch {
 	case h == nil || h.reported || outcome == work.NoRoom || outcome == work.NotRun:
 	case outcome == work.Done && now < h.awayEnd:
@@ -140,18 +140,18 @@
 	}
 }
 
-// dropHolds ends the waits of an answered job.
-func (m *Machine) dropHolds(now time.Duration, j *job) {
+// dropRackWaits ends the waits of an answered job.
+func (m *Machine) dropRackWaits(now time.Duration, j *job) {
 	if m.cfg.RemoteFactor <= 1 {
 		return
 	}
 	for i := range j.tasks {
-		h := j.tasks[i].hold
+		h := j.tasks[i].rackWait
 		if h == nil || h.reported {
 			continue
 		}
 		if h.active {
-			m.endHold(now, h)
+			m.endRackWait(now, h)
 		}
 		m.reportWait(h, 0, WaitDropped)
 	}
@@ -184,8 +184,8 @@
 	t.expectedEnd = now + wait + m.estimateRunTime(t.worker, step, t.job.estimate(t.step))
 	if step.PreferredRack != "" && t.worker.info.Rack != step.PreferredRack {
 		t.job.stats.AwayRuns++
-		if t.hold != nil && !t.hold.reported {
-			m.reportWait(t.hold, 0, WaitMoved)
+		if t.rackWait != nil && !t.rackWait.reported {
+			m.reportWait(t.rackWait, 0, WaitMoved)
 		}
 	}
 }
--- a/internal/decision/placement/hold_model_test.go
+++ b/internal/decision/placement/rackwait_model_test.go
@@ -12,8 +12,8 @@
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
-// holdModel plays jobs that prefer racks, loads, ends of runs and losses of workers.
-type holdModel struct {
+// rackWaitModel plays jobs that prefer racks, loads, ends of runs and losses of workers.
+type rackWaitModel struct {
 	*rackHarness
 	jobs int
 	runs []sentRun
@@ -26,7 +26,7 @@
 
 // advance lets time pass and hears the workers, of the lost ones only some. Mostly there is room on
 // rack c only.
-func (m *holdModel) advance(t *rapid.T) {
+func (m *rackWaitModel) advance(t *rapid.T) {
 	m.now += time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * ms
 	for i := range m.racks {
 		w := m.m.workers[process(i)]
@@ -42,7 +42,7 @@
 	m.tick() // also if no worker is heard
 }
 
-func (m *holdModel) submitJob(t *rapid.T) {
+func (m *rackWaitModel) submitJob(t *rapid.T) {
 	m.jobs++
 	j := wanting(fmt.Sprint("j", m.jobs), rapid.IntRange(1, 4).Draw(t, "tasks"))
 	j.Rank = rapid.IntRange(0, 2).Draw(t, "rank")
@@ -52,7 +52,7 @@
 	m.tick()
 }
 
-func (m *holdModel) endOne(t *rapid.T) {
+func (m *rackWaitModel) endOne(t *rapid.T) {
 	for p, runs := range m.takeRuns() {
 		for _, r := range runs {
 			m.runs = append(m.runs, sentRun{p, r})
@@ -71,12 +71,12 @@
 	}
 }
 
-func (m *holdModel) lose(t *rapid.T) {
+func (m *rackWaitModel) lose(t *rapid.T) {
 	m.m.SidecarLost(m.now, process(rapid.IntRange(0, len(m.racks)-1).Draw(t, "worker")))
 	m.tick()
 }
 
-func (m *holdModel) answerOne(t *rapid.T) {
+func (m *rackWaitModel) answerOne(t *rapid.T) {
 	id := fmt.Sprint("j", rapid.IntRange(1, m.jobs+1).Draw(t, "job"))
 	if rapid.Bool().Draw(t, "cancel") {
 		m.m.Cancel(m.now, id)
@@ -88,52 +88,52 @@
 
 // check checks that a waiting task has no run, waits for a rack on which it can run, and not
 // beyond its time or an answer.
-func (m *holdModel) check(t *rapid.T) {
-	held := map[*job]int{}
-	for key, list := range m.m.holds {
+func (m *rackWaitModel) check(t *rapid.T) {
+	waiting := map[*job]int{}
+	for key, list := range m.m.rackWaits {
 		if len(list) == 0 {
-			t.Fatalf("an empty list of holds of %v", key)
+			t.Fatalf("an empty list of waits of %v", key)
 		}
 		for i, h := range list {
 			j := h.task.job
-			held[j]++
-			if h.task.worker != nil || h.task.done || j.answered || !h.active || h.task.hold != h {
-				t.Fatalf("hold of %v: %+v", h.task.id(), h)
+			waiting[j]++
+			if h.task.worker != nil || h.task.done || j.answered || !h.active || h.task.rackWait != h {
+				t.Fatalf("wait of %v: %+v", h.task.id(), h)
 			}
 			if h.until <= m.now || h.until-h.since > 200*ms || h.awayEnd > j.deadline {
 				t.Fatalf("wait of %v until %v at %v", h.task.id(), h.until, m.now)
 			}
 			if i > 0 && list[i-1].before(h) >= 0 {
-				t.Fatalf("holds of %v out of order", key)
+				t.Fatalf("waits of %v out of order", key)
 			}
 		}
-		if next := m.m.nextHoldReview; next <= m.now || next > m.now+holdReviewInterval {
+		if next := m.m.nextRackReview; next <= m.now || next > m.now+rackReviewInterval {
 			t.Fatalf("next review at %v at %v", next, m.now)
 		}
 	}
 	for _, j := range m.m.jobs {
-		if j.holds != held[j] {
-			t.Fatalf("job %s counts %d holds of %d", j.spec.ID, j.holds, held[j])
+		if j.rackWaits != waiting[j] {
+			t.Fatalf("job %s counts %d waits of %d", j.spec.ID, j.rackWaits, waiting[j])
 		}
 	}
 }
 
-// TestHoldModel guards against waiting tasks that are forgotten, wait for ever or twice, or have
+// TestRackWaitModel guards against waiting tasks that are forgotten, wait for ever or twice, or have
 // a run, and against a wait whose end is not told.
-func TestHoldModel(t *testing.T) {
+func TestRackWaitModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		m := &holdModel{rackHarness: newRackHarness(t, 1.5, "a", "a", "b", "c")}
+		m := &rackWaitModel{rackHarness: newRackHarness(t, 1.5, "a", "a", "b", "c")}
 		rt.Repeat(map[string]func(*rapid.T){
 			"advance": m.advance, "submit": m.submitJob, "end": m.endOne, "lose": m.lose, "answer": m.answerOne, "": m.check,
 		})
 		begun := 0
 		for _, j := range m.m.jobs {
-			begun += j.holds
+			begun += j.rackWaits
 		}
 		m.m.AbandonJobs(m.now)
 		m.take()
-		if len(m.m.holds) > 0 {
-			rt.Fatalf("%d racks have holds after all jobs were answered", len(m.m.holds))
+		if len(m.m.rackWaits) > 0 {
+			rt.Fatalf("%d racks have waits after all jobs were answered", len(m.m.rackWaits))
 		}
 		dropped := 0
 		for _, w := range m.ended {
--- a/internal/decision/placement/hold_test.go
+++ b/internal/decision/placement/rackwait_test.go
@@ -78,8 +78,8 @@
 	if a, ok := h.submit(wanting("j", 1)); !ok {
 		t.Fatalf("refused: %+v", a)
 	}
-	if runs := h.takeRuns(); len(runs) > 0 || h.m.jobs["j"].holds != 1 {
-		t.Fatalf("%d tasks wait, and runs %v were sent", h.m.jobs["j"].holds, runs)
+	if runs := h.takeRuns(); len(runs) > 0 || h.m.jobs["j"].rackWaits != 1 {
+		t.Fatalf("%d tasks wait, and runs %v were sent", h.m.jobs["j"].rackWaits, runs)
 	}
 	for i := range 2 {
 		if w := h.m.workers[process(i)]; w.queuedUpTo(wire.NumRanks-1) != 0 || len(w.reservations) != 0 {
@@ -111,14 +111,14 @@
 // instance was faster.
 func TestWaitAgain(t *testing.T) {
 	h := newFullRack(t)
-	first := *h.m.jobs["j"].tasks[0].hold
+	first := *h.m.jobs["j"].tasks[0].rackWait
 	h.now += 30 * ms
 	h.beat(1, 3000)
 	run := h.takeRuns()[process(1)][0]
 	h.now += 5 * ms
 	h.beat(1, 0)
 	h.endRun(process(1), run, work.NoRoom)
-	again := h.m.jobs["j"].tasks[0].hold
+	again := h.m.jobs["j"].tasks[0].rackWait
 	if !again.active || again.since != first.since || again.until != first.until || again.awayEnd != first.awayEnd || len(h.ended) > 0 {
 		t.Errorf("first %+v, again %+v, ended %v", first, again, h.ended)
 	}
@@ -133,12 +133,12 @@
 	j.Objective, j.Timeout = 2*time.Second, 9*time.Second
 	j.Steps = append(j.Steps, work.Step{Count: 1, Need: j.Steps[0].Need, Estimate: 700 * ms})
 	h.submit(j)
-	if runs := h.takeRuns(); len(runs[process(2)]) != 2 || len(h.m.holds) > 0 {
-		t.Errorf("runs %v, holds %v", runs, h.m.holds)
+	if runs := h.takeRuns(); len(runs[process(2)]) != 2 || len(h.m.rackWaits) > 0 {
+		t.Errorf("runs %v, waits %v", runs, h.m.rackWaits)
 	}
 	j.ID, j.Steps[1].DependsOn = "k", []int{0} // now the second step waits for the first
 	h.submit(j)
-	if h.m.jobs["k"].holds != 1 {
+	if h.m.jobs["k"].rackWaits != 1 {
 		t.Errorf("a task on which another step depends does not wait")
 	}
 }
@@ -162,7 +162,7 @@
 // Guards against a wait that lasts longer than it can pay, or a Tick that is not asked for then.
 func TestWaitEnds(t *testing.T) {
 	h := newFullRack(t)
-	until := h.m.jobs["j"].tasks[0].hold.until
+	until := h.m.jobs["j"].tasks[0].rackWait.until
 	if until != 200*ms {
 		t.Errorf("wait until %v, want the 200 ms that a run away takes longer", until)
 	}
@@ -171,7 +171,7 @@
 			t.Fatalf("placed at %v", h.now)
 		}
 		next := h.tick()
-		if next <= h.now || next > h.now+holdReviewInterval {
+		if next <= h.now || next > h.now+rackReviewInterval {
 			t.Fatalf("next tick at %v at %v", next, h.now)
 		}
 		h.now = min(next, until)
@@ -204,9 +204,9 @@
 		for i := range 2 {
 			lose(h, i)
 		}
-		h.now += holdReviewInterval
+		h.now += rackReviewInterval
 		h.tick()
-		if runs := h.takeRuns(); len(runs[process(2)]) != 1 || h.m.jobs["j"].holds != 0 {
+		if runs := h.takeRuns(); len(runs[process(2)]) != 1 || h.m.jobs["j"].rackWaits != 0 {
 			t.Errorf("%s: runs %v one check after the loss", name, runs)
 		}
 	}
@@ -220,8 +220,8 @@
 	if got := h.answers["j"]; got.State != work.Refused || got.Reason != work.ReasonStopping {
 		t.Errorf("answer %+v", got)
 	}
-	if len(h.m.holds) != 0 || len(h.m.jobs) != 0 || len(h.ended) != 1 || h.ended[0].Outcome != WaitDropped {
-		t.Errorf("%d holds, %d jobs, ended %+v", len(h.m.holds), len(h.m.jobs), h.ended)
+	if len(h.m.rackWaits) != 0 || len(h.m.jobs) != 0 || len(h.ended) != 1 || h.ended[0].Outcome != WaitDropped {
+		t.Errorf("%d waits, %d jobs, ended %+v", len(h.m.rackWaits), len(h.m.jobs), h.ended)
 	}
 }
 
@@ -232,7 +232,7 @@
 	h.beat(1, 0)
 	h.submit(wanting("wide", 2))
 	h.submit(wanting("one", 1))
-	if wide, one := h.m.jobs["wide"].holds, h.m.jobs["one"].holds; wide != 2 || one != 1 {
+	if wide, one := h.m.jobs["wide"].rackWaits, h.m.jobs["one"].rackWaits; wide != 2 || one != 1 {
 		t.Fatalf("%d and %d tasks wait", wide, one)
 	}
 	h.takeRuns()
@@ -250,7 +250,7 @@
 	for i := range 12 {
 		h.submit(wanting(fmt.Sprint("j", i), 1))
 	}
-	waiting, away := len(h.m.holds[rackKey{"svc", "a"}]), 0
+	waiting, away := len(h.m.rackWaits[rackKey{"svc", "a"}]), 0
 	for p, runs := range h.takeRuns() {
 		if h.m.workers[p].info.Rack != "a" {
 			away += len(runs)
@@ -274,7 +274,7 @@
 			a, ok := h.submit(j)
 			text += fmt.Sprint(a, ok, h.takeBatches())
 		}
-		if len(h.m.holds) > 0 || len(h.ended) > 0 {
+		if len(h.m.rackWaits) > 0 || len(h.ended) > 0 {
 			t.Errorf("tasks wait with factor %v and rack %q", factor, rack)
 		}
 		return text
--- a/internal/decision/placement/review.go
+++ b/internal/decision/placement/review.go
@@ -14,27 +14,27 @@
 
 // noteRackLoad makes the next Tick review the tasks that wait for the rack of a worker.
 func (m *Machine) noteRackLoad(w *worker) {
-	if len(m.holds) == 0 {
+	if len(m.rackWaits) == 0 {
 		return
 	}
-	if key := (rackKey{w.info.Service, w.info.Rack}); len(m.holds[key]) > 0 {
+	if key := (rackKey{w.info.Service, w.info.Rack}); len(m.rackWaits[key]) > 0 {
 		m.changedRacks[key] = true
 	}
 }
 
-// reviewHolds decides anew for the waiting tasks of the racks with new load summaries, unless
+// reviewRackWaits decides anew for the waiting tasks of the racks with new load summaries, unless
 // needsPromptReview says no, and for all when a wait ends or the review of all is due. It returns the time of the next
 // call, zero if no task waits.
-func (m *Machine) reviewHolds(now time.Duration) time.Duration {
-	if len(m.holds) == 0 {
-		m.nextHoldReview = 0
+func (m *Machine) reviewRackWaits(now time.Duration) time.Duration {
+	if len(m.rackWaits) == 0 {
+		m.nextRackReview = 0
 		return 0
 	}
 	keys := slices.Collect(maps.Keys(m.changedRacks))
-	all := now >= m.nextHoldReview
+	all := now >= m.nextRackReview
 	if all {
-		m.fullReviewAt = now + holdReviewInterval
-		keys = slices.Collect(maps.Keys(m.holds))
+		m.fullReviewAt = now + rackReviewInterval
+		keys = slices.Collect(maps.Keys(m.rackWaits))
 	}
 	slices.SortFunc(keys, func(a, b rackKey) int { return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.rack, b.rack)) })
 	clear(m.changedRacks)
@@ -43,16 +43,16 @@
 			m.reviewRack(now, key)
 		}
 	}
-	m.nextHoldReview = m.fullReviewAt
-	for _, list := range m.holds {
+	m.nextRackReview = m.fullReviewAt
+	for _, list := range m.rackWaits {
 		for _, h := range list {
-			m.nextHoldReview = min(m.nextHoldReview, h.until)
+			m.nextRackReview = min(m.nextRackReview, h.until)
 		}
 	}
-	if len(m.holds) == 0 {
-		m.nextHoldReview = 0
+	if len(m.rackWaits) == 0 {
+		m.nextRackReview = 0
 	}
-	return m.nextHoldReview
+	return m.nextRackReview
 }
 
 // maxPromptComparisons is the largest number of comparisons of waiting tasks with workers in a
@@ -64,11 +64,11 @@
 // at once, because there may be room for one or the review is short.
 func (m *Machine) needsPromptReview(key rackKey) bool {
 	near := m.nearWorkers(key.service, key.rack)
-	if len(near)*len(m.holds[key]) <= maxPromptComparisons {
+	if len(near)*len(m.rackWaits[key]) <= maxPromptComparisons {
 		return true
 	}
 	least := int64(math.MaxInt64) // thousandths of a core
-	for _, h := range m.holds[key] {
+	for _, h := range m.rackWaits[key] {
 		least = min(least, h.task.job.spec.Steps[h.task.step].Need.MilliCPU)
 	}
 	return slices.ContainsFunc(near, func(w *worker) bool {
@@ -83,7 +83,7 @@
 	near := m.nearWorkers(key.service, key.rack)
 	queued := make([][wire.NumRanks]int64, len(near)) // thousandths of a core
 	var moved []*task
-	for _, h := range slices.Clone(m.holds[key]) {
+	for _, h := range slices.Clone(m.rackWaits[key]) {
 		t, j := h.task, h.task.job
 		need := j.spec.Steps[t.step].Need
 		w, wait := m.best(now, j, t, &j.spec.Steps[t.step], near, &plan{waitFactor: 1})
@@ -92,7 +92,7 @@
 		case m.withheld(t): // settleTask places it again
 			m.moveOn(now, h)
 		case usable && wait == 0:
-			m.endHold(now, h)
+			m.endRackWait(now, h)
 			m.startRun(now, t, w, true)
 			m.noteStart(now, t, 0)
 		case !usable || !m.furtherWaitPays(now, h, w, wait, len(near)):
@@ -115,7 +115,7 @@
 }
 
 // furtherWaitPays decides again for a waiting task, with the expected wait at a worker of its rack.
-func (m *Machine) furtherWaitPays(now time.Duration, h *hold, w *worker, wait time.Duration, workers int) bool {
+func (m *Machine) furtherWaitPays(now time.Duration, h *rackWait, w *worker, wait time.Duration, workers int) bool {
 	q := m.question(now, h.task, w, h.awayEnd-h.since)
 	q.Near.Wait, q.Margin = wait, locality.Margin(workers, now-w.loadReceived)
 	job := &locality.Job{Rest: h.task.job.restOfRuns(now), Tasks: []locality.Task{q}}
@@ -123,8 +123,8 @@
 }
 
 // moveOn ends the wait of a task that is to be placed elsewhere.
-func (m *Machine) moveOn(now time.Duration, h *hold) {
-	m.endHold(now, h)
+func (m *Machine) moveOn(now time.Duration, h *rackWait) {
+	m.endRackWait(now, h)
 	m.reportWait(h, 0, WaitMoved)
 }
 
@@ -148,18 +148,18 @@
 	m.executePlan(now, j, p)
 }
 
-// reserveForHolds adds the tasks that wait for a rack before a task to the queues of its
+// reserveForRackWaits adds the tasks that wait for a rack before a task to the queues of its
 // workers, in equal parts. It saves their load summaries before.
-func (m *Machine) reserveForHolds(j *job, t *task, near []*worker, loads *savedLoads) {
-	if len(near) == 0 || len(m.holds[rackOf(t)]) == 0 {
+func (m *Machine) reserveForRackWaits(j *job, t *task, near []*worker, loads *savedLoads) {
+	if len(near) == 0 || len(m.rackWaits[rackOf(t)]) == 0 {
 		return
 	}
 	step := &j.spec.Steps[t.step]
 	room := float64(step.Count) * float64(step.Need.MilliCPU) / 1000 * j.estimate(t.step).Seconds()
 	priority := locality.Priority(time.Duration((m.cfg.RemoteFactor-1)*float64(j.estimate(t.step))), room)
-	candidate := &hold{task: t, since: maxDuration, priority: priority}
+	candidate := &rackWait{task: t, since: maxDuration, priority: priority}
 	var shares [wire.NumRanks]int64 // thousandths of a core
-	for _, h := range m.holds[rackOf(t)] {
+	for _, h := range m.rackWaits[rackOf(t)] {
 		if h.before(candidate) < 0 {
 			shares[min(h.task.job.spec.Rank, wire.NumRanks-1)] += h.task.job.spec.Steps[h.task.step].Need.MilliCPU / int64(len(near))
 		}
--- a/internal/decision/placement/runs.go
+++ b/internal/decision/placement/runs.go
@@ -17,7 +17,7 @@
 	}
 	m.checkContacts(now)
 	m.retryWaiting(now)
-	next := m.reviewHolds(now)
+	next := m.reviewRackWaits(now)
 	if len(m.unanswered) > 0 {
 		next = earlier(next, m.unanswered[0].deadline)
 	}
--- a/internal/decision/placement/submit.go
+++ b/internal/decision/placement/submit.go
@@ -136,7 +136,7 @@
 	for _, t := range j.tasksWithRun() {
 		m.stopRun(t)
 	}
-	m.dropHolds(now, j)
+	m.dropRackWaits(now, j)
 	stats := j.stats
 	stats.Queue, stats.Tasks, stats.DoneTasks, stats.Elapsed = j.spec.Queue, len(j.tasks), j.doneTasks, now-j.submittedAt
 	m.actions = append(m.actions, JobAnswer{JobID: j.spec.ID, Answer: a, Stats: stats})
