--- a/internal/decision/placement/batch.go
+++ b/internal/decision/placement/batch.go
@@ -101,12 +101,17 @@
 func (m *Machine) executePlan(now time.Duration, j *job, p plan) {
 	for i, t := range p.tasks {
 		w := p.workers[i]
+		if p.rackWaits != nil && p.rackWaits[i] != nil {
+			m.beginRackWait(now, t, p.rackWaits[i])
+			continue
+		}
 		if w == nil {
 			m.delayRetry(now, t)
 			m.addWaiting(j)
 			continue
 		}
 		m.startRun(now, t, w, p.waits[i] == 0 && t.noRoomEnds < m.noRoomEndsBeforeWait())
+		m.noteStart(now, t, p.waits[i])
 	}
 }
 
@@ -135,7 +140,7 @@
 	j.stats.Runs++
 	w.unsentRuns = append(w.unsentRuns, wire.RunRequest{
 		Run: t.runID(), Need: step.Need, Payload: j.spec.Payload, Rank: j.spec.Rank,
-		EstimateMs: max(j.estimate(t.step).Milliseconds(), 1),
+		EstimateMs: max(m.expectedRunTime(t, w).Milliseconds(), 1),
 		MaxWaitMs:  max((j.waitLimit(t) - now).Milliseconds(), 1),
 		NoWait:     noWait, Description: w.description,
 		JobAgeMs: max((now - j.submittedAt).Milliseconds(), 1),
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomturn/cardamomturn/internal/decision/evacuation"
 	"github.com/cardamomturn/cardamomturn/internal/decision/ident"
 	"github.com/cardamomturn/cardamomturn/internal/decision/indexedheap"
+	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
@@ -69,6 +70,12 @@
 	MaxCrashes int
 	// AdaptToDelay makes placement follow the measured delay of the load summaries.
 	AdaptToDelay bool
+	// RemoteFactor is the factor by which the run time of a task is longer on a rack other
+	// than its preferred one. At most 1 means that no task prefers a rack.
+	RemoteFactor float64
+	// DecideWaits decides which tasks wait for room on their racks; nil selects
+	// locality.Decide. A test replaces it to compare other rules.
+	DecideWaits func(*locality.Job) []locality.Decision
 }
 
 // Action is a request to the caller of the Machine, which does the I/O.
@@ -107,7 +114,9 @@
 	// CrashedRuns and PossiblyCrashedRuns are the numbers of runs that ended with a crash of
 	// their worker process, and of those that may have.
 	CrashedRuns, PossiblyCrashedRuns int
-	Elapsed                          time.Duration
+	// AwayRuns is the number of runs on another rack than the preferred one.
+	AwayRuns int
+	Elapsed  time.Duration
 	// LastOutcome, LastReason and LastWorker describe the newest end of a run whose
 	// outcome is neither work.Done nor work.NoRoom.
 	LastOutcome work.Outcome
@@ -139,13 +148,21 @@
 	learned []crashes.Record
 	// unanswered holds the jobs without an answer, the earliest deadline first.
 	unanswered indexedheap.Heap[*job]
-	waiting    []*job    // jobs with tasks to place later
-	unsent     []*worker // workers with a batch for Actions to return
-	delay      batchDelay
-	sequence   uint64 // sequence number of the newest batch to any sidecar
-	actions    []Action
-	draining   bool
-	evacuation evacuation.State
+	waiting    []*job // jobs with tasks to place later
+	// rackWaits are the tasks that wait for room on their racks, in the order in which they get
+	// it, and changedRacks the racks with new load summaries since the last review.
+	rackWaits    map[rackKey][]*rackWait
+	changedRacks map[rackKey]bool
+	// nextRackReview is the time of the next review of all waits for racks, zero if there are none.
+	nextRackReview time.Duration
+	// fullReviewAt is the latest time of the next review of all waits for racks.
+	fullReviewAt time.Duration
+	unsent       []*worker // workers with a batch for Actions to return
+	delay        batchDelay
+	sequence     uint64 // sequence number of the newest batch to any sidecar
+	actions      []Action
+	draining     bool
+	evacuation   evacuation.State
 	// lastCall is the time of the last call of checkContacts, and nextContactCheck that
 	// of the next check of the times without a message.
 	lastCall, nextContactCheck time.Duration
@@ -175,7 +192,10 @@
 	if cfg.MaxCrashes == 0 {
 		cfg.MaxCrashes = DefaultMaxCrashes
 	}
-	return &Machine{cfg: cfg, startup: startup{settle: cfg.WorkersSettle}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	if cfg.DecideWaits == nil {
+		cfg.DecideWaits = locality.Decide
+	}
+	return &Machine{cfg: cfg, startup: startup{settle: cfg.WorkersSettle}, rackWaits: map[rackKey][]*rackWait{}, changedRacks: map[rackKey]bool{}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
 }
 
 // pool holds the workers of one service.
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -61,6 +61,10 @@
 	// AdaptToDelay makes the placement of tasks follow the measured delay of the load
 	// summaries.
 	AdaptToDelay bool `json:"adaptToDelay"`
+	// RemoteFactor is the factor by which a task takes longer on another rack than the one of
+	// its data, or on several racks if its step runs faster on one. Without it, no task prefers
+	// a rack.
+	RemoteFactor *float64 `json:"remoteFactor"`
 }
 
 // Runner holds the settings of a sidecar that runs tasks under leases.
@@ -121,6 +125,7 @@
 		checkAddress("broker.callerAddress", f.Broker.CallerAddress, p)
 		checkAddress("broker.readyAddress", f.Broker.ReadyAddress, p)
 		checkTime("broker.applyWithin", f.Broker.ApplyWithin, minApplyWithin, maxPlatformTime, p)
+		f.Broker.checkRemoteFactor(p)
 	case f.Runner != nil:
 		f.Runner.PlatformProcess.check("runner", p)
 		checkAddress("runner.reportAddress", f.Runner.ReportAddress, p)
@@ -162,6 +167,15 @@
 	}
 }
 
+// Bounds of Broker.RemoteFactor.
+const minRemoteFactor, maxRemoteFactor = 1, 100
+
+func (b *Broker) checkRemoteFactor(p *ValidationError) {
+	if f := b.RemoteFactor; f != nil && !(*f >= minRemoteFactor && *f <= maxRemoteFactor) {
+		p.addProblem("broker.remoteFactor", *f, "a number of %d to %d", minRemoteFactor, maxRemoteFactor)
+	}
+}
+
 // Bounds of the times in the platform's settings.
 const (
 	minApplyWithin    = 100 * time.Millisecond
