ingress: name the end of the process as a shutdown

Hurry is not a term of the field, and does not say that the process ends. The methods are BeginShutdown, and the bound is shutdownTime. Behavior is the same.

--- a/internal/decision/ingress/ingress.go
+++ b/internal/decision/ingress/ingress.go
@@ -68,8 +68,8 @@
 	perPort map[string]int
 	held    int64
 	nextID  ID
-	// hurry bounds the times of a process that ends; zero means that it does not end.
-	hurry time.Duration
+	// shutdownTime bounds the times of clients while the process ends; zero means that it does not end.
+	shutdownTime time.Duration
 }
 
 // New returns a machine without connections.
@@ -203,9 +203,9 @@
 	}
 }
 
-// Hurry gives all clients at most a time to end what they have begun, for the end of the process.
-func (m *Machine) Hurry(within, now time.Duration) {
-	m.hurry = within
+// BeginShutdown bounds the time in which clients may end what they have begun, because the process ends.
+func (m *Machine) BeginShutdown(within, now time.Duration) {
+	m.shutdownTime = within
 	for _, c := range m.clients {
 		if c.phase == header || c.phase == body || c.phase == answering {
 			c.deadline = now + within
@@ -247,8 +247,8 @@
 	c.phase, c.progressAt, c.deadline = p, now, 0
 	// No time bounds a request that is being handled: its handler does.
 	allowed := [...]time.Duration{idle: m.times.Idle, header: m.times.Header, body: m.times.Progress, handled: 0, answering: m.times.Answer}[p]
-	if m.hurry > 0 && p != handled && p != idle {
-		allowed = m.hurry
+	if m.shutdownTime > 0 && p != handled && p != idle {
+		allowed = m.shutdownTime
 	}
 	if allowed > 0 {
 		c.deadline = now + allowed
--- a/internal/decision/ingress/ingress_test.go
+++ b/internal/decision/ingress/ingress_test.go
@@ -159,13 +159,13 @@
 
 // Guards against clients that keep a process from ending, and against a request in progress that is
 // closed because the process ends.
-func TestHurry(t *testing.T) {
+func TestBeginShutdown(t *testing.T) {
 	m := New(testBounds, Times{Header: 100, Progress: 100, Answer: 100})
 	slow, unread, running, idleOne := open(t, m, 1), open(t, m, 1), open(t, m, 1), open(t, m, 1)
 	m.Take(slow, 1, 2)
 	m.Answer(unread, 2)
 	m.Start(running, 2)
-	m.Hurry(5, 10)
+	m.BeginShutdown(5, 10)
 	if overdue := m.Overdue(14); len(overdue) > 0 {
 		t.Errorf("too early: %v", overdue)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -215,7 +215,7 @@
 // shutdown drains the instance for at most DrainTimeout and then stops it.
 func (e *Entry) shutdown() error {
 	e.SetDraining(true)
-	e.gates.Clients.Hurry()
+	e.gates.Clients.BeginShutdown()
 	end := time.Now().Add(e.cfg.DrainTimeout)
 	for e.countUnanswered() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPollInterval)
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -108,18 +108,18 @@
 // by maxClockStep when the time begins.
 func atLeast(d time.Duration) time.Duration { return d + maxClockStep }
 
-// hurryTime is what clients get to end what they have begun when the process ends.
-const hurryTime = time.Second
+// shutdownTime is the time in which clients may end what they have begun when the process ends.
+const shutdownTime = time.Second
 
-// Hurry closes the clients that have not ended what they have begun within hurryTime, so that a
+// BeginShutdown closes clients that have not ended what they have begun within shutdownTime, so that a
 // process does not wait for them when it ends.
-func (g *Gate) Hurry() {
+func (g *Gate) BeginShutdown() {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.machine.Hurry(hurryTime, g.now())
+	g.machine.BeginShutdown(shutdownTime, g.now())
 }
 
 // Held returns the bytes that requests hold, and the number of open connections.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -175,7 +175,7 @@
 	close(s.coreDone)
 	s.cancel()
 	s.rpcServer.Close()
-	s.gates.Clients.Hurry()
+	s.gates.Clients.BeginShutdown()
 	for _, h := range s.httpServers {
 		h.Shutdown()
 	}
