runner: name the heartbeat for freed room by its purpose

The files, the interval and the check were called news, which says neither what is new nor to whom; the interval also applies to a sidecar that has no evacuation state yet. The check is roomFreed, the interval earlyHeartbeatInterval, and the room in the newest load summary reportedRoom. The tests check the same as before.

--- a/internal/decision/occupancy/news.go
+++ b/internal/decision/occupancy/room.go
@@ -6,10 +6,10 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// Room is what a load summary tells of the room for further runs, in thousandths of a core.
+// Room is the part of a load summary about the room for further runs, in thousandths of a core.
 type Room struct{ Capacity, Free, Queued int64 }
 
-// RoomIn returns the room that a load summary tells of.
+// RoomIn returns the room in a load summary.
 func RoomIn(l *wire.Load) Room {
 	room := Room{Capacity: l.Capacity.MilliCPU, Free: l.Free.MilliCPU}
 	for _, queued := range l.QueuedMilliCPU {
@@ -18,7 +18,7 @@
 	return room
 }
 
-// Room returns the present room, as the load summary tells it.
+// Room returns the present room, as Load would report it.
 func (m *Machine) Room(now time.Duration) Room {
 	room := Room{Capacity: m.worker.Capacity.MilliCPU, Free: m.free(now).MilliCPU}
 	for _, r := range m.queue.runs {
@@ -34,11 +34,11 @@
 	freedDivisor = 4
 )
 
-// FreedSince reports whether the worker has room again, while an earlier summary told that it was
-// full or had queued runs. An entry instance that has no runs at the worker hears nothing else of
+// FreedSince reports whether the worker has room again, while it was full or had queued runs in
+// the reported summary. An entry instance that has no runs at the worker hears nothing else of
 // this until the next heartbeat, and refuses jobs for which there is room.
-func (r Room) FreedSince(told Room) bool {
-	wasFull := told.Queued > 0 || told.Free < told.Capacity/fullDivisor
+func (r Room) FreedSince(reported Room) bool {
+	wasFull := reported.Queued > 0 || reported.Free < reported.Capacity/fullDivisor
 	return wasFull && r.Available()
 }
 
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -133,8 +133,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stateWaitEnds, c.lastSentAt = now+time.Minute, now
-	if due := c.dueAt(now) - now; due != newsInterval {
-		t.Errorf("a heartbeat is due after %v without a state, want %v", due, newsInterval)
+	if due := c.dueAt(now) - now; due != earlyHeartbeatInterval {
+		t.Errorf("a heartbeat is due after %v without a state, want %v", due, earlyHeartbeatInterval)
 	}
 	if r.applyEvacuation(now, &evacuation.State{Revision: 1}, "test"); c.dueAt(now)-now < heartbeatInterval {
 		t.Errorf("a heartbeat is due after %v with a state", c.dueAt(now)-now)
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -26,8 +26,8 @@
 	// ackedEnds is the number of ends that the owner has acknowledged in the session.
 	ackedEnds uint64
 	sending   bool // sendEnds is running
-	// told is the room in the newest load summary for the owner.
-	told occupancy.Room
+	// reportedRoom is the room in the newest load summary for the owner.
+	reportedRoom occupancy.Room
 }
 
 // busy reports whether the owner has runs here, or ends that it has not acknowledged; mu
@@ -109,7 +109,7 @@
 	if o != nil {
 		load.AppliedSequence = o.AppliedSequence()
 		load.AcceptsRuns = load.AcceptsRuns && !o.client.unwanted
-		o.told = occupancy.RoomIn(&load)
+		o.reportedRoom = occupancy.RoomIn(&load)
 	}
 	return load
 }
--- a/internal/runner/news_test.go
+++ b/internal/runner/room_test.go
@@ -28,8 +28,8 @@
 	}
 	r.machine.StartAnswered(now, other, occupancy.Rejected, "test")
 	r.machine.Actions()
-	if due := c.dueAt(now) - now; due != newsInterval {
-		t.Errorf("a heartbeat is due after %v, want %v", due, newsInterval)
+	if due := c.dueAt(now) - now; due != earlyHeartbeatInterval {
+		t.Errorf("a heartbeat is due after %v, want %v", due, earlyHeartbeatInterval)
 	}
 	r.load(now, c.owner)
 	if due := c.dueAt(now) - now; due < heartbeatInterval {
@@ -37,10 +37,10 @@
 	}
 }
 
-// TestNoNewsOfWithheldRoom guards against a heartbeat to each entry instance every 100 ms during the
-// ramp after an evacuation, because the room that is withheld counts as news although no load summary
+// TestWithheldRoomIsNotReported guards against a heartbeat to each entry instance every 100 ms during the
+// ramp after an evacuation, because the room that is withheld counts as freed although no load summary
 // tells of it.
-func TestNoNewsOfWithheldRoom(t *testing.T) {
+func TestWithheldRoomIsNotReported(t *testing.T) {
 	now := clock.SinceBoot()
 	r := newTestRunner(t, now)
 	c := newTestClient(r, now)
--- a/internal/runner/schedule.go
+++ b/internal/runner/schedule.go
@@ -23,7 +23,7 @@
 
 // dueAt returns the time of the next call of sendHeartbeat; mu is held. Unless sendNow is
 // set, it is at least heartbeatInterval after the last call, or the shorter retryDelay or
-// newsInterval, because not every call moves the times of failures and contacts forward.
+// earlyHeartbeatInterval, because not every call moves the times of failures and contacts forward.
 func (c *entryClient) dueAt(now time.Duration) time.Duration {
 	switch {
 	case c.sendNow:
@@ -32,8 +32,8 @@
 		return max(c.retryAt, c.lastSentAt+min(c.retryDelay, heartbeatInterval))
 	case c.owner == nil || !c.owner.Live():
 		return c.lastSentAt + heartbeatInterval
-	case c.hasNews(now), now < c.runner.stateWaitEnds && !c.runner.evacuation.Ready():
-		return max(now, c.lastSentAt+newsInterval)
+	case c.roomFreed(now), now < c.runner.stateWaitEnds && !c.runner.evacuation.Ready():
+		return max(now, c.lastSentAt+earlyHeartbeatInterval)
 	}
 	interval := idleHeartbeatInterval
 	if c.owner.busy() {
