--- a/internal/decision/placement/rackwait.go
+++ b/internal/decision/placement/rackwait.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cardamomturn/cardamomturn/internal/decision/locality"
-	"github.com/cardamomturn/cardamomturn/internal/wire"
 	"github.com/cardamomturn/cardamomturn/internal/work"
 )
 
@@ -83,60 +82,60 @@
 // waitsForRack reports whether a task waits for room on its rack.
 func (t *task) waitsForRack() bool { return t.rackWait != nil && t.rackWait.active }
 
-// before orders the waiting tasks of a rack: by rank, then the largest gain, then the
+// compare orders the waiting tasks of a rack: by rank, then the highest priority, then the
 // earliest.
-func (h *rackWait) before(o *rackWait) int {
-	return cmp.Or(cmp.Compare(h.task.job.spec.Rank, o.task.job.spec.Rank), cmp.Compare(o.priority, h.priority), cmp.Compare(h.since, o.since),
-		cmp.Compare(h.task.job.spec.ID, o.task.job.spec.ID), cmp.Compare(h.task.step, o.task.step), cmp.Compare(h.task.index, o.task.index))
+func (rw *rackWait) compare(other *rackWait) int {
+	return cmp.Or(cmp.Compare(rw.task.job.spec.Rank, other.task.job.spec.Rank), cmp.Compare(other.priority, rw.priority), cmp.Compare(rw.since, other.since),
+		cmp.Compare(rw.task.job.spec.ID, other.task.job.spec.ID), cmp.Compare(rw.task.step, other.task.step), cmp.Compare(rw.task.index, other.task.index))
 }
 
 // mayAddRackWait reports whether another task may wait for the rack of a task.
 func (m *Machine) mayAddRackWait(t *task) bool { return len(m.rackWaits[rackOf(t)]) < maxWaitsPerRack }
 
 // beginRackWait makes a task wait for room on its rack.
-func (m *Machine) beginRackWait(now time.Duration, t *task, h *rackWait) {
+func (m *Machine) beginRackWait(now time.Duration, t *task, rw *rackWait) {
 	if len(m.rackWaits) == 0 {
 		m.fullReviewAt = now + rackReviewInterval
 		m.nextRackReview = m.fullReviewAt
 	}
-	t.rackWait, h.active = h, true
-	t.expectedEnd = h.nearEnd
+	t.rackWait, rw.active = rw, true
+	t.expectedEnd = rw.nearEnd
 	key := rackOf(t)
 	list := m.rackWaits[key]
-	i, _ := slices.BinarySearchFunc(list, h, (*rackWait).before)
-	m.rackWaits[key] = slices.Insert(list, i, h)
+	i, _ := slices.BinarySearchFunc(list, rw, (*rackWait).compare)
+	m.rackWaits[key] = slices.Insert(list, i, rw)
 	t.job.rackWaits++
-	m.nextRackReview = min(m.nextRackReview, h.until)
+	m.nextRackReview = min(m.nextRackReview, rw.until)
 }
 
 // endRackWait ends the wait of a task.
-func (m *Machine) endRackWait(now time.Duration, h *rackWait) {
-	h.active, h.endedAt = false, now
-	h.task.job.rackWaits--
-	key := rackOf(h.task)
+func (m *Machine) endRackWait(now time.Duration, rw *rackWait) {
+	rw.active, rw.endedAt = false, now
+	rw.task.job.rackWaits--
+	key := rackOf(rw.task)
 	list := m.rackWaits[key]
-	list = slices.Delete(list, slices.Index(list, h), slices.Index(list, h)+1)
+	list = slices.Delete(list, slices.Index(list, rw), slices.Index(list, rw)+1)
 	if m.rackWaits[key] = list; len(list) == 0 {
 		delete(m.rackWaits, key)
 	}
 }
 
 // reportWait emits what came of a wait.
-func (m *Machine) reportWait(h *rackWait, gain time.Duration, outcome WaitOutcome) {
-	h.reported = true
-	key := rackOf(h.task)
-	m.actions = append(m.actions, WaitEnded{Task: h.task.id(), Queue: h.task.job.spec.Queue, Rack: key.rack, Waited: h.endedAt - h.since, Gain: gain, Outcome: outcome})
+func (m *Machine) reportWait(rw *rackWait, gain time.Duration, outcome WaitOutcome) {
+	rw.reported = true
+	key := rackOf(rw.task)
+	m.actions = append(m.actions, WaitEnded{Task: rw.task.id(), Queue: rw.task.job.spec.Queue, Rack: key.rack, Waited: rw.endedAt - rw.since, Gain: gain, Outcome: outcome})
 }
 
 // recordWaitResult records the end of the run for which a task has waited.
 func (m *Machine) recordWaitResult(now time.Duration, t *task, outcome work.Outcome) {
-	h := t.rackWait
+	rw := t.rackWait
 	switch {
-	case h == nil || h.reported || outcome == work.NoRoom || outcome == work.NotRun:
-	case outcome == work.Done && now < h.awayEnd:
-		m.reportWait(h, h.awayEnd-now, WaitPaid)
+	case rw == nil || rw.reported || outcome == work.NoRoom || outcome == work.NotRun:
+	case outcome == work.Done && now < rw.awayEnd:
+		m.reportWait(rw, rw.awayEnd-now, WaitPaid)
 	default:
-		m.reportWait(h, min(h.awayEnd-now, 0), WaitNotPaid)
+		m.reportWait(rw, min(rw.awayEnd-now, 0), WaitNotPaid)
 	}
 }
 
@@ -146,14 +145,14 @@
 		return
 	}
 	for i := range j.tasks {
-		h := j.tasks[i].rackWait
-		if h == nil || h.reported {
+		rw := j.tasks[i].rackWait
+		if rw == nil || rw.reported {
 			continue
 		}
-		if h.active {
-			m.endRackWait(now, h)
+		if rw.active {
+			m.endRackWait(now, rw)
 		}
-		m.reportWait(h, 0, WaitDropped)
+		m.reportWait(rw, 0, WaitDropped)
 	}
 }
 
@@ -189,31 +188,3 @@
 		}
 	}
 }
-
-// savedLoads holds the load summaries of workers as they were before a plan reserved capacity.
-type savedLoads struct {
-	workers []*worker
-	loads   []wire.Load
-}
-
-// save saves the load summary of a worker.
-func (s *savedLoads) save(w *worker) {
-	s.workers, s.loads = append(s.workers, w), append(s.loads, w.load)
-}
-
-// reserve saves the load summary of a worker, which may be nil, and reserves the capacity for a
-// task there.
-func (s *savedLoads) reserve(t *task, w *worker) {
-	if w == nil {
-		return
-	}
-	s.save(w)
-	w.reserve(t.job.spec.Steps[t.step].Need, t.job.spec.Rank, t.job.estimate(t.step).Milliseconds())
-}
-
-// restore restores the load summaries. A worker that was saved several times gets the first one.
-func (s *savedLoads) restore() {
-	for i, w := range slices.Backward(s.workers) {
-		w.load = s.loads[i]
-	}
-}
--- a/internal/decision/placement/rackwait_model_test.go
+++ b/internal/decision/placement/rackwait_model_test.go
@@ -132,7 +132,7 @@
 			if h.until <= m.now || h.until-h.since > 200*ms || h.awayEnd > j.deadline {
 				t.Fatalf("wait of %v until %v at %v", h.task.id(), h.until, m.now)
 			}
-			if i > 0 && list[i-1].before(h) >= 0 {
+			if i > 0 && list[i-1].compare(h) >= 0 {
 				t.Fatalf("waits of %v out of order", key)
 			}
 		}
--- a/internal/decision/placement/review.go
+++ b/internal/decision/placement/review.go
@@ -22,9 +22,9 @@
 	}
 }
 
-// reviewRackWaits decides anew for the waiting tasks of the racks with new load summaries, unless
-// needsPromptReview says no, and for all when a wait ends or the review of all is due. It returns the time of the next
-// call, zero if no task waits.
+// reviewRackWaits decides anew for the waiting tasks of the racks with new load summaries for which
+// needsPromptReview is true, and for all when a wait ends or the review of all is due. It returns the
+// time of the next call, zero if no task waits.
 func (m *Machine) reviewRackWaits(now time.Duration) time.Duration {
 	if len(m.rackWaits) == 0 {
 		m.nextRackReview = 0
@@ -45,8 +45,8 @@
 	}
 	m.nextRackReview = m.fullReviewAt
 	for _, list := range m.rackWaits {
-		for _, h := range list {
-			m.nextRackReview = min(m.nextRackReview, h.until)
+		for _, rw := range list {
+			m.nextRackReview = min(m.nextRackReview, rw.until)
 		}
 	}
 	if len(m.rackWaits) == 0 {
@@ -68,8 +68,8 @@
 		return true
 	}
 	least := int64(math.MaxInt64) // thousandths of a core
-	for _, h := range m.rackWaits[key] {
-		least = min(least, h.task.job.spec.Steps[h.task.step].Need.MilliCPU)
+	for _, rw := range m.rackWaits[key] {
+		least = min(least, rw.task.job.spec.Steps[rw.task.step].Need.MilliCPU)
 	}
 	return slices.ContainsFunc(near, func(w *worker) bool {
 		return w.queuedUpTo(0) == 0 && w.load.Free.MilliCPU >= min(least, w.load.Capacity.MilliCPU)
@@ -83,20 +83,20 @@
 	near := m.nearWorkers(key.service, key.rack)
 	queued := make([][wire.NumRanks]int64, len(near)) // thousandths of a core
 	var moved []*task
-	for _, h := range slices.Clone(m.rackWaits[key]) {
-		t, j := h.task, h.task.job
+	for _, rw := range slices.Clone(m.rackWaits[key]) {
+		t, j := rw.task, rw.task.job
 		need := j.spec.Steps[t.step].Need
 		w, wait := m.best(now, j, t, &j.spec.Steps[t.step], near, &plan{waitFactor: 1})
 		usable := w != nil && !t.avoids(w)
 		switch {
 		case m.withheld(t): // settleTask places it again
-			m.moveOn(now, h)
+			m.moveOn(now, rw)
 		case usable && wait == 0:
-			m.endRackWait(now, h)
+			m.endRackWait(now, rw)
 			m.startRun(now, t, w, true)
 			m.noteStart(now, t, 0)
-		case !usable || !m.furtherWaitPays(now, h, w, wait, len(near)):
-			m.moveOn(now, h)
+		case !usable || !m.furtherWaitPays(now, rw, w, wait, len(near)):
+			m.moveOn(now, rw)
 			moved = append(moved, t)
 		default:
 			rank := min(j.spec.Rank, wire.NumRanks-1)
@@ -115,17 +115,17 @@
 }
 
 // furtherWaitPays decides again for a waiting task, with the expected wait at a worker of its rack.
-func (m *Machine) furtherWaitPays(now time.Duration, h *rackWait, w *worker, wait time.Duration, workers int) bool {
-	q := m.question(now, h.task, w, h.awayEnd-h.since)
+func (m *Machine) furtherWaitPays(now time.Duration, rw *rackWait, w *worker, wait time.Duration, workers int) bool {
+	q := m.question(now, rw.task, w, rw.awayEnd-rw.since)
 	q.Near.Wait, q.Margin = wait, locality.Margin(workers, now-w.loadReceived)
-	job := &locality.Job{Rest: h.task.job.restOfRuns(now), Tasks: []locality.Task{q}}
+	job := &locality.Job{Rest: rw.task.job.restOfRuns(now), Tasks: []locality.Task{q}}
 	return m.cfg.DecideWaits(job)[0].Choice == locality.Wait
 }
 
 // moveOn ends the wait of a task that is to be placed elsewhere.
-func (m *Machine) moveOn(now time.Duration, h *rackWait) {
-	m.endRackWait(now, h)
-	m.reportWait(h, 0, WaitMoved)
+func (m *Machine) moveOn(now time.Duration, rw *rackWait) {
+	m.endRackWait(now, rw)
+	m.reportWait(rw, 0, WaitMoved)
 }
 
 // placeElsewhere places a task whose wait has ended on another rack if there is room, and
@@ -159,9 +159,9 @@
 	priority := locality.Priority(time.Duration((m.cfg.RemoteFactor-1)*float64(j.estimate(t.step))), room)
 	candidate := &rackWait{task: t, since: maxDuration, priority: priority}
 	var shares [wire.NumRanks]int64 // thousandths of a core
-	for _, h := range m.rackWaits[rackOf(t)] {
-		if h.before(candidate) < 0 {
-			shares[min(h.task.job.spec.Rank, wire.NumRanks-1)] += h.task.job.spec.Steps[h.task.step].Need.MilliCPU / int64(len(near))
+	for _, rw := range m.rackWaits[rackOf(t)] {
+		if rw.compare(candidate) < 0 {
+			shares[min(rw.task.job.spec.Rank, wire.NumRanks-1)] += rw.task.job.spec.Steps[rw.task.step].Need.MilliCPU / int64(len(near))
 		}
 	}
 	for _, w := range near {
