ingress: say what the bounds of connections and the pooled chunks are for

The bounds of the sidecar's ports had one comment, which did not tell why there are two; the first step of a frame is the size of a chunk, as for bodies.

--- a/internal/chunks/chunks.go
+++ b/internal/chunks/chunks.go
@@ -1,6 +1,6 @@
-// Package chunks collects bytes that arrive, of which the number is not known to be true, in
-// chunks that are used again. A buffer that grows by copies would leave the collector more memory
-// to free than the bytes that have arrived.
+// Package chunks collects received bytes in pooled chunks, for input whose announced length can't
+// be relied on. A buffer that grows by copies would leave the garbage collector more memory to free
+// than the bytes that have arrived.
 package chunks
 
 import "sync"
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -32,7 +32,7 @@
 	maxKeptBufferBytes = 256 << 10
 	// firstStepBytes is the first step in which a frame is read. Each further step takes as much
 	// room as the ones before, so that an announced length takes none before its bytes arrive.
-	firstStepBytes = 16 << 10
+	firstStepBytes = chunks.Size
 )
 
 // ErrBadFrame is the cause of errors about malformed or oversized frames.
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -1,6 +1,6 @@
 package settings
 
-// checkIngress checks the memory and the descriptors that a process may use.
+// checkIngress adds the problems with the memory and the descriptors that a process may use to p.
 func checkIngress(section string, memoryMB, descriptors int, p *ValidationError) {
 	if memoryMB < 0 {
 		p.addProblem(section+".memoryMB", memoryMB, "zero or more")
--- a/internal/sidecar/http.go
+++ b/internal/sidecar/http.go
@@ -16,10 +16,11 @@
 	"github.com/cardamomturn/cardamomturn/internal/wire"
 )
 
-// httpConcurrency bounds the concurrent connections of one HTTP port. Beyond portConnections, one
-// that does the least gives way to a new one.
 const (
+	// httpConcurrency bounds the connections that the HTTP server of one port serves at a time.
 	httpConcurrency = 256
+	// portConnections bounds the open connections of one HTTP port. It is lower than
+	// httpConcurrency, so that the gate closes one for a new one before the server refuses it.
 	portConnections = httpConcurrency / 2
 )
 
