--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -195,7 +195,12 @@
 	if cfg.DecideWaits == nil {
 		cfg.DecideWaits = locality.Decide
 	}
-	return &Machine{cfg: cfg, startup: startup{settle: cfg.WorkersSettle}, rackWaits: map[rackKey][]*rackWait{}, changedRacks: map[rackKey]bool{}, crashes: crashes.NewTable(), random: random, workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{}, jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{}}
+	return &Machine{
+		cfg: cfg, random: random, startup: startup{settle: cfg.WorkersSettle}, crashes: crashes.NewTable(),
+		rackWaits: map[rackKey][]*rackWait{}, changedRacks: map[rackKey]bool{},
+		workers: map[ident.Process]*worker{}, incarnations: map[string]map[uint64]*incarnation{}, pools: map[string]*pool{},
+		jobs: map[string]*job{}, calibrations: map[string]*estimate.Calibration{},
+	}
 }
 
 // pool holds the workers of one service.
--- a/internal/decision/placement/rackwait_model_test.go
+++ b/internal/decision/placement/rackwait_model_test.go
@@ -123,16 +123,16 @@
 		if len(list) == 0 {
 			t.Fatalf("an empty list of waits of %v", key)
 		}
-		for i, h := range list {
-			j := h.task.job
+		for i, rw := range list {
+			j := rw.task.job
 			waiting[j]++
-			if h.task.worker != nil || h.task.done || j.answered || !h.active || h.task.rackWait != h {
-				t.Fatalf("wait of %v: %+v", h.task.id(), h)
+			if rw.task.worker != nil || rw.task.done || j.answered || !rw.active || rw.task.rackWait != rw {
+				t.Fatalf("wait of %v: %+v", rw.task.id(), rw)
 			}
-			if h.until <= m.now || h.until-h.since > 200*ms || h.awayEnd > j.deadline {
-				t.Fatalf("wait of %v until %v at %v", h.task.id(), h.until, m.now)
+			if rw.until <= m.now || rw.until-rw.since > 200*ms || rw.awayEnd > j.deadline {
+				t.Fatalf("wait of %v until %v at %v", rw.task.id(), rw.until, m.now)
 			}
-			if i > 0 && list[i-1].compare(h) >= 0 {
+			if i > 0 && list[i-1].compare(rw) >= 0 {
 				t.Fatalf("waits of %v out of order", key)
 			}
 		}
--- a/internal/decision/placement/startup.go
+++ b/internal/decision/placement/startup.go
@@ -25,7 +25,8 @@
 type startup struct {
 	began, running bool
 	beganAt        time.Duration
-	// workerAddedAt is the time at which a worker has accepted runs for the first time.
+	// workerAddedAt is the newest time at which a worker accepted runs for the first time, zero if
+	// none has.
 	workerAddedAt time.Duration
 	// settle is the time without a further worker after which those known count as all. Zero
 	// means that no job is held.
