--- a/internal/chunks/chunks.go
+++ b/internal/chunks/chunks.go
@@ -10,6 +10,11 @@
 
 var pool = sync.Pool{New: func() any { return new([Size]byte) }}
 
+// NextRoom returns the room in bytes to reserve for input of at most limit bytes that has filled the
+// room reserved so far: Size first, then twice as much each time. An announced length reserves
+// nothing before its bytes arrive.
+func NextRoom(room, limit int) int { return min(max(2*room, Size), limit) }
+
 // Buffer collects bytes. The zero value is empty. Release must be called after the last use.
 type Buffer struct {
 	list   []*[Size]byte
--- a/internal/chunks/chunks_test.go
+++ b/internal/chunks/chunks_test.go
@@ -31,3 +31,16 @@
 		}
 	}
 }
+
+// Guards against room that is reserved for an announced length before its bytes have arrived, or
+// beyond the limit.
+func TestNextRoom(t *testing.T) {
+	for _, c := range []struct{ room, limit, want int }{
+		{0, 10 * Size, Size}, {Size, 10 * Size, 2 * Size}, {2 * Size, 10 * Size, 4 * Size},
+		{0, Size - 1, Size - 1}, {4 * Size, 5 * Size, 5 * Size},
+	} {
+		if got := NextRoom(c.room, c.limit); got != c.want {
+			t.Errorf("after %d of at most %d bytes: %d, want %d", c.room, c.limit, got, c.want)
+		}
+	}
+}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -58,7 +58,7 @@
 	}
 	for room := 0; ; {
 		if buffer.Len() == room {
-			room = min(max(2*room, stepBytes), most)
+			room = chunks.NextRoom(room, most)
 			if !b.conn.Take(room) {
 				return nil, errNoRoom
 			}
--- a/internal/rpcnet/codec.go
+++ b/internal/rpcnet/codec.go
@@ -134,7 +134,7 @@
 	defer buffer.Release()
 	for room := 0; buffer.Len() < n; {
 		if buffer.Len() == room {
-			room = min(n, max(2*room, firstStepBytes))
+			room = chunks.NextRoom(room, n)
 			if !f.take(room) {
 				return errors.Trace(errNoRoom)
 			}
