--- a/internal/broker/submit.go
+++ b/internal/broker/submit.go
@@ -113,6 +113,9 @@
 	stats := &a.Stats
 	pairs := []any{"job", a.JobID, "queue", stats.Queue, "state", a.Answer.State.String(), "tasks", stats.Tasks, "done", stats.DoneTasks,
 		"starts", stats.Runs, "returns", stats.NoRoomEnds, "crashes", stats.CrashedRuns, "possibleCrashes", stats.PossiblyCrashedRuns, "elapsedMs", stats.Elapsed.Milliseconds(), "config", b.config.Version()}
+	if stats.Held {
+		pairs = append(pairs, "held", true)
+	}
 	if a.Answer.Reason != work.ReasonNone {
 		pairs = append(pairs, "reason", string(a.Answer.Reason))
 	}
--- a/internal/decision/placement/harness_test.go
+++ b/internal/decision/placement/harness_test.go
@@ -19,10 +19,11 @@
 	version uint64
 	sent    []Batch
 	answers map[string]work.Answer
+	stats   map[string]JobStats
 }
 
 func newHarness(t *testing.T, workers int) *harness {
-	h := &harness{t: t, m: New(Config{}, rand.New(rand.NewSource(1))), answers: map[string]work.Answer{}}
+	h := &harness{t: t, m: New(Config{}, rand.New(rand.NewSource(1))), answers: map[string]work.Answer{}, stats: map[string]JobStats{}}
 	for i := range workers {
 		h.heartbeat(i, 0, 32000)
 	}
@@ -66,7 +67,7 @@
 			if _, twice := h.answers[a.JobID]; twice {
 				h.t.Fatalf("job %s has two answers", a.JobID)
 			}
-			h.answers[a.JobID] = a.Answer
+			h.answers[a.JobID], h.stats[a.JobID] = a.Answer, a.Stats
 		}
 	}
 }
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -117,6 +117,8 @@
 	// AwayRuns is the number of runs on another rack than the preferred one.
 	AwayRuns int
 	Elapsed  time.Duration
+	// Held is true if the job waited for workers to become known after the start of the process.
+	Held bool
 	// LastOutcome, LastReason and LastWorker describe the newest end of a run whose
 	// outcome is neither work.Done nor work.NoRoom.
 	LastOutcome work.Outcome
--- a/internal/decision/placement/startup.go
+++ b/internal/decision/placement/startup.go
@@ -61,7 +61,7 @@
 	}
 	m.jobs[j.spec.ID] = j
 	m.unanswered.Add(j)
-	j.held = true
+	j.held, j.stats.Held = true, true
 	m.startup.held++
 	m.holdOn(now, j)
 	// The most urgent jobs get the first workers.
--- a/internal/decision/placement/startup_test.go
+++ b/internal/decision/placement/startup_test.go
@@ -65,6 +65,9 @@
 	for h.now < latest {
 		h.advance(heldRetryInterval)
 	}
+	if !h.stats["a"].Held {
+		t.Error("the answer does not tell that the job was held")
+	}
 	if a := h.answers["a"]; a.State != work.Refused || a.Reason != work.ReasonNoWorker {
 		t.Errorf("the job ends as %+v, want a refusal when it can't end within its objective", a)
 	}
