settings: an absent remoteFactor is left out when settings are written

The soak writes its settings files from the settings' types, which wrote null for the absent factor, and the check rejects null, so that no entry instance started. The field is left out now.

The tests of placement and settings pass; the second harness of placement keeps the statistics of answers, too.

--- a/internal/decision/placement/rackwait_test.go
+++ b/internal/decision/placement/rackwait_test.go
@@ -19,7 +19,7 @@
 }
 
 func newRackHarness(t *testing.T, factor float64, racks ...string) *rackHarness {
-	h := &rackHarness{harness: &harness{t: t, answers: map[string]work.Answer{}}, racks: racks}
+	h := &rackHarness{harness: &harness{t: t, answers: map[string]work.Answer{}, stats: map[string]JobStats{}}, racks: racks}
 	h.m = New(Config{RemoteFactor: factor}, rand.New(rand.NewSource(1)))
 	for i := range racks {
 		h.beat(i, 32000)
--- a/internal/settings/platform.go
+++ b/internal/settings/platform.go
@@ -64,7 +64,7 @@
 	// RemoteFactor is the factor by which a task takes longer on another rack than the one of
 	// its data, or on several racks if its step runs faster on one. Without it, no task prefers
 	// a rack.
-	RemoteFactor *float64 `json:"remoteFactor"`
+	RemoteFactor *float64 `json:"remoteFactor,omitempty"`
 }
 
 // Runner holds the settings of a sidecar that runs tasks under leases.
