standin: one name for the path of a worker's reports

The tests of foreign clients spelled the platform's path themselves; its names stay in platform/. The path of the requests is unchanged; vet passes, with the tag of these tests, too.

--- a/test/clients/system_test.go
+++ b/test/clients/system_test.go
@@ -166,7 +166,7 @@
 		"ready":            {ready, "GET", standin.PathReady, 1 << 10, entry, get(ready, standin.PathReady)},
 		"metrics":          {metrics, "GET", "/metrics", 1 << 10, entry, get(metrics, "/metrics")},
 		"internal":         {internal, "POST", "/", 4 << 20, entry, job},
-		"report":           {report, "POST", "/cardamomturn/Instances.Heartbeat/i-0", 4 << 20, sidecar, func() error { return worker.Report(report) }},
+		"report":           {report, "POST", standin.PathReport + "i-0", 4 << 20, sidecar, func() error { return worker.Report(report) }},
 		"sidecar metrics":  {sidecarMetrics, "GET", "/metrics", 1 << 10, sidecar, get(sidecarMetrics, "/metrics")},
 		"sidecar internal": {sidecarInternal, "POST", "/", 4 << 20, sidecar, job},
 	}}
