broker: an instance that is closed while it starts begins no exchanges

Run added to the wait group while Close waited for it, so that the rounds of exchanges could begin or go on after Close.

The rounds begin under the lock, and not after Close has ended the context, like all other goroutines of the wait group; Close takes the lock before it waits.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -159,7 +159,7 @@
 	for _, p := range b.cfg.PeerAddresses {
 		b.AddPeer(p)
 	}
-	b.wg.Go(b.exchangeRounds)
+	b.startExchangeRounds()
 	return errors.Annotate(b.rpcServer.Serve(b.listener), "serve the internal port")
 }
 
--- a/internal/broker/peer.go
+++ b/internal/broker/peer.go
@@ -93,6 +93,16 @@
 	return table.Config.Version, nil
 }
 
+// startExchangeRounds starts the rounds of exchanges unless the instance has been closed. Close waits
+// for the goroutines that have been started before it took mu.
+func (b *Broker) startExchangeRounds() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ctx.Err() == nil {
+		b.wg.Go(b.exchangeRounds)
+	}
+}
+
 // exchangeRounds starts the rounds of exchanges until the instance is closed.
 func (b *Broker) exchangeRounds() {
 	for b.ctx.Err() == nil {
--- a/internal/broker/peer_test.go
+++ b/internal/broker/peer_test.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// TestCloseDuringStart guards against an instance that starts goroutines while Close waits for them, or
+// after it has.
+func TestCloseDuringStart(t *testing.T) {
+	for range 20 {
+		b := startPeers(t, 1)[0]
+		b.Close()
+		b.startExchangeRounds()
+		b.wg.Wait()
+	}
+}
+
 // TestPeersTakeTurns guards against a peer with which no versions are exchanged for long,
 // and against garbage addresses that are contacted or listed.
 func TestPeersTakeTurns(t *testing.T) {
