--- a/review/_harness3/main.go
+++ b/review/_harness3/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (broken string, err error){
 	"cancel-at-a-cut-node":      cancelAtCutNode,
 	"cancel-and-restarted-node": cancelAndRestartedNode,
+	"cancel-on-a-dropped-route": cancelOnDroppedRoute,
 }
 
 // recorder writes what happens to record.txt, with the time since the start.
